--- /dev/null
+++ b/crates/wirehost/src/instance.rs
@@ -0,0 +1,273 @@
+//! One router with what it asks its caller to keep: timers, and commands with their dispatch history.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use serde_json::{Value as Json, json};
+use tansyjunction::Router;
+use tansyjunction::interface::*;
+
+use crate::named::named;
+use crate::wire::{NANOS, field, flag, number, row, text, time};
+
+/// Names given small numbers in the order they were first met.
+#[derive(Default)]
+struct Indices {
+    by_name: HashMap<String, usize>,
+    names: Vec<String>,
+}
+
+impl Indices {
+    fn of(&mut self, name: &str) -> usize {
+        if let Some(index) = self.by_name.get(name) {
+            return *index;
+        }
+        self.by_name.insert(name.into(), self.names.len());
+        self.names.push(name.into());
+        self.names.len() - 1
+    }
+}
+
+#[derive(Default)]
+struct Entry {
+    held: Held,
+    over: bool,
+}
+
+pub struct Instance {
+    number: u64,
+    router: Router,
+    servers: Indices,
+    groups: Indices,
+    sessions: Indices,
+    zones: Vec<Json>,
+    command_groups: Vec<Json>,
+    fields: Vec<String>,
+    zero: Micros,
+    commands: BTreeMap<u64, Entry>,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    reminded: Option<Micros>,
+}
+
+impl Instance {
+    pub fn begin(number: u64, event: &Json) -> Result<Self, String> {
+        let seed = field(event, "random_seed")?.as_u64().ok_or("'random_seed' is not a whole number")?;
+        let conf = field(event, "conf")?;
+        let list = |part: &Json| part.as_array().cloned().unwrap_or_default();
+        let domain = &conf["domain"];
+        Ok(Instance {
+            number,
+            router: Router::new(named(conf), seed)?,
+            servers: Indices::default(),
+            groups: Indices::default(),
+            sessions: Indices::default(),
+            zones: list(&conf["localities"]),
+            command_groups: list(&conf["categories"]).iter().map(|c| c["name"].clone()).collect(),
+            fields: list(&conf["telemetry"]["fields"])
+                .iter()
+                .filter_map(|f| f.as_str().map(String::from))
+                .collect(),
+            zero: domain["zero"].as_u64().unwrap_or(0) / NANOS,
+            commands: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            reminded: None,
+        })
+    }
+
+    pub fn arrival(&mut self, now: Micros, event: &Json, orders: &mut Vec<Json>) -> Result<(), String> {
+        let corr = number(event, "corr")?;
+        let name = field(event, "priority")?;
+        let command_group = self.command_groups.iter().position(|known| known == name);
+        let command = Command {
+            command_group: command_group
+                .ok_or_else(|| format!("'priority' {name} is not in the settings"))?,
+            group: self.groups.of(&number(event, "group_no")?.to_string()),
+            session: event["client_key"].as_str().map(|key| self.sessions.of(key)),
+            arrived: now,
+            client_timeout: time(event, "not_after")?,
+            written_ago: event["wrote_ms_ago"].as_f64().map(|ms| (ms * 1_000.0) as Micros),
+        };
+        let held = Held { command, dispatches: Vec::new() };
+        self.commands.insert(corr, Entry { held, over: false });
+        self.ask(now, corr, orders);
+        Ok(())
+    }
+
+    pub fn resolved(&mut self, now: Micros, event: &Json, orders: &mut Vec<Json>) -> Result<(), String> {
+        let corr = number(event, "corr")?;
+        let dispatch = number(event, "go")? as usize;
+        let ending = match text(event, "reason")? {
+            "ok" => Ending::Answered,
+            "error" => Ending::Errored,
+            "full" => Ending::SentBack,
+            "timeout" => Ending::TimedOut,
+            "connect_failed" => Ending::Unconnected,
+            "reset" => Ending::Reset,
+            "cancelled" => Ending::Recalled,
+            "moot" => Ending::Unsent,
+            "miss" => Ending::Missed,
+            other => return Err(format!("'reason' {other} is not known")),
+        };
+        let over = flag(event, "complete");
+        let outcome = Outcome {
+            dispatch,
+            ending,
+            took: time(event, "duration")?,
+            over,
+            stated: self.stated(event["stand"].as_u64().unwrap_or(0)),
+            report: self.report(&event["health_info"]),
+        };
+        let Some(entry) = self.commands.get_mut(&corr) else { return Ok(()) };
+        let Some(sent) = entry.held.dispatches.get_mut(dispatch) else {
+            return Err(format!("'go' {dispatch} was never sent for command {corr}"));
+        };
+        sent.ended = Some(ending);
+        entry.over |= over;
+        let after = self.router.after(now, &entry.held, &Outcome { over: entry.over, ..outcome });
+        match after {
+            After::Ask => self.ask(now, corr, orders),
+            After::Over { recall } => {
+                for go in recall {
+                    orders.push(json!({"recall": {"i": self.number, "corr": corr, "go": go}}));
+                }
+                self.forget_ended(corr);
+            }
+        }
+        Ok(())
+    }
+
+    pub fn dropped(&mut self, now: Micros, event: &Json) -> Result<(), String> {
+        let corr = number(event, "corr")?;
+        if let Some(entry) = self.commands.get_mut(&corr) {
+            entry.over = true;
+            self.router.client_gone(now, &entry.held);
+            self.forget_ended(corr);
+        }
+        Ok(())
+    }
+
+    pub fn pong(&mut self, now: Micros, event: &Json) -> Result<(), String> {
+        let server = self.servers.of(text(event, "server")?);
+        let report = self.report(&event["health_info"]);
+        self.router.probed(now, server, time(event, "duration")?, text(event, "reason")? == "ok", report);
+        Ok(())
+    }
+
+    pub fn datagram(&mut self, now: Micros, event: &Json) -> Result<(), String> {
+        self.router.told(now, number(event, "src")? as usize, text(event, "body")?);
+        Ok(())
+    }
+
+    pub fn members(&mut self, now: Micros, event: &Json, page: Option<&Vec<Json>>) -> Result<(), String> {
+        let how = text(event, "how")?;
+        if how == "refused" {
+            self.router.listed(now, None, false);
+            return Ok(());
+        }
+        let page = page.ok_or("'page' names a list that was never given")?;
+        let entries = page.iter().map(|entry| self.listed(entry)).collect::<Result<Vec<_>, _>>()?;
+        self.router.listed(now, Some(&entries), how != "changes");
+        Ok(())
+    }
+
+    fn listed(&mut self, entry: &Json) -> Result<Listed, String> {
+        Ok(Listed {
+            server: self.servers.of(text(entry, "server")?),
+            group: self.groups.of(&number(entry, "set")?.to_string()),
+            zone: self.zones.iter().position(|zone| *zone == entry["site"]).unwrap_or(self.zones.len()),
+            size: entry["units"].as_f64().unwrap_or(1.0),
+            standing: match text(entry, "state")? {
+                "SERVING" => Standing::Serving,
+                "DRAINING" => Standing::Draining,
+                _ => Standing::Gone,
+            },
+            primary: entry["leads"].as_f64() == Some(1.0),
+            started: entry["since"].as_u64().filter(|ns| *ns > 0).map(|ns| ns / NANOS),
+        })
+    }
+
+    /// What an answer states: 4 x position in milliseconds + role.
+    fn stated(&self, stand: u64) -> Report {
+        let primary = match stand % 4 {
+            1 => Some(true),
+            2 => Some(false),
+            _ => None,
+        };
+        let position = Some(stand / 4).filter(|ms| *ms > 0).map(|ms| self.zero + ms * 1_000);
+        Report { position, primary, ..Report::default() }
+    }
+
+    fn report(&self, values: &Json) -> Option<Report> {
+        let values = row(values)?;
+        let value = |name: &str| {
+            let place = self.fields.iter().position(|field| field == name)?;
+            values.get(place)?.as_f64()
+        };
+        Some(Report {
+            position: value("x0").map(|seconds| self.zero + (seconds.max(0.0) * 1e6) as Micros),
+            primary: value("x1").map(|role| role == 1.0),
+            queue: value("pending"),
+            busy: value("cpu_share"),
+        })
+    }
+
+    fn ask(&mut self, now: Micros, corr: u64, orders: &mut Vec<Json>) {
+        let i = self.number;
+        let Some(entry) = self.commands.get_mut(&corr).filter(|entry| !entry.over) else { return };
+        match self.router.place(now, &entry.held) {
+            Place::Dispatch { server, timeout } => {
+                let name = &self.servers.names[server];
+                let timeout = timeout * NANOS;
+                orders.push(json!({"forward": {"i": i, "corr": corr, "timeout": timeout, "server": name}}));
+                entry.held.dispatches.push(Dispatch { server, sent: now, ended: None });
+            }
+            Place::NotYet => {}
+            Place::Never(last) => {
+                orders.push(match last {
+                    Final::Throttled { come_back } => {
+                        json!({"shed": {"i": i, "corr": corr, "backoff": come_back * NANOS}})
+                    }
+                    Final::Failed => json!({"lose": {"i": i, "corr": corr}}),
+                });
+                entry.over = true;
+                self.forget_ended(corr);
+                return;
+            }
+        }
+        let wait = self.router.wait(now, Some(&entry.held));
+        self.timers.push(Reverse((now + wait.micros.max(1), corr)));
+    }
+
+    /// A command is kept until it is over and the last of its dispatches has ended.
+    fn forget_ended(&mut self, corr: u64) {
+        let ended = |entry: &Entry| entry.over && entry.held.dispatches.iter().all(|d| d.ended.is_some());
+        if self.commands.get(&corr).is_some_and(ended) {
+            self.commands.remove(&corr);
+        }
+    }
+
+    /// After the events of a batch: due questions, then the router's own wait.
+    pub fn settle(&mut self, now: Micros, orders: &mut Vec<Json>) {
+        while let Some(Reverse((_, corr))) =
+            self.timers.peek().copied().filter(|Reverse((due, _))| *due <= now)
+        {
+            self.timers.pop();
+            self.ask(now, corr, orders);
+        }
+        let i = self.number;
+        let wait = self.router.wait(now, None);
+        for server in wait.probes {
+            orders.push(json!({"ask_load": {"i": i, "server": self.servers.names[server]}}));
+        }
+        if wait.watch {
+            orders.push(json!({"subscribe": {"i": i, "enable": true}}));
+        }
+        let own = now + wait.micros.max(1);
+        let next = self.timers.peek().map_or(own, |Reverse((due, _))| own.min(*due));
+        // A timer can't be taken back; one that comes sooner serves as well.
+        if self.reminded.is_none_or(|at| at <= now || next < at) {
+            orders.push(json!({"remind": {"i": i, "in": (next - now) * NANOS, "nonce": 0}}));
+            self.reminded = Some(next);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/named.rs
@@ -0,0 +1,94 @@
+//! The settings of a `begin`, under the project's names and in microseconds.
+
+use serde_json::Value as Json;
+use tansyjunction::interface::{Named, Value};
+
+/// Settings that are taken over: where they stand on the wire, their name here, and what a number is divided by.
+const TAKEN: [(&str, &str, f64); 20] = [
+    ("balancers", "routers", 1.0),
+    ("me", "router", 1.0),
+    ("round", "round", 1_000.0),
+    ("registry_mode", "list_mode", 1.0),
+    ("domain/guards", "guards", 1.0),
+    ("domain/write_marks", "session_marks", 1.0),
+    ("domain/synchronous", "synchronous", 1.0),
+    ("domain/patience", "guard_wait", 1_000.0),
+    ("limits/cancelling", "limits.recalls", 1.0),
+    ("limits/max_attempts", "limits.max_dispatches", 1.0),
+    ("limits/max_retry_after", "limits.max_come_back", 1_000.0),
+    ("limits/probes", "limits.probes", 1.0),
+    ("limits/retry_after", "limits.come_back", 1.0),
+    ("limits/second_copies", "limits.second_copies", 1.0),
+    ("guarantees/cold", "rules.cold", 1_000.0),
+    ("guarantees/cold_from", "rules.cold_from", 1.0),
+    ("guarantees/drain_grace", "rules.drain_grace", 1_000.0),
+    ("guarantees/fall_multiple", "rules.fall_multiple", 1.0),
+    ("guarantees/overload_for", "rules.fall_for", 1_000.0),
+    ("guarantees/grace_to_answer", "rules.answer_grace", 1_000.0),
+];
+
+/// The same for each command group.
+const TAKEN_EACH: [(&str, &str, f64); 7] = [
+    ("aim", "response_target", 1_000.0),
+    ("hard_limit", "client_timeout", 1_000.0),
+    ("worth", "benefit", 1.0),
+    ("late_worth", "late_benefit", 1.0),
+    ("effect", "effect", 1.0),
+    ("dedup_scope", "scope", 1.0),
+    ("window", "repeat_within", 1_000.0),
+];
+
+/// The wire's words and the project's; others pass as they are.
+const WORDS: [(&str, &str); 15] = [
+    ("pure", "replayable"),
+    ("token", "keyed"),
+    ("side_effect", "mutating"),
+    ("cell", "group"),
+    ("mutate", "write"),
+    ("strong", "fresh"),
+    ("causal", "session"),
+    ("lag_bound", "bounded"),
+    ("eventual", "any"),
+    ("on_request", "ask"),
+    ("silent", "none"),
+    ("bounce", "refuse"),
+    ("await", "wait"),
+    ("brought", "carried"),
+    ("kept", "remembered"),
+];
+
+pub fn named(conf: &Json) -> Named {
+    let mut named = Named::new();
+    for (path, name, unit) in TAKEN {
+        let found = path.split('/').try_fold(conf, |at, part| at.get(part));
+        put(&mut named, name.into(), found, unit);
+    }
+    let zones = conf["localities"].as_array().map_or(&[][..], Vec::as_slice);
+    let zone = zones.iter().position(|zone| *zone == conf["my_zone"]);
+    named.insert("zone".into(), Value::Number(zone.unwrap_or(0) as f64));
+    let each = conf["categories"].as_array().map_or(&[][..], Vec::as_slice);
+    named.insert("command_groups".into(), Value::Number(each.len() as f64));
+    for (k, category) in each.iter().enumerate() {
+        for (key, name, unit) in TAKEN_EACH {
+            put(&mut named, format!("command_group.{k}.{name}"), category.get(key), unit);
+        }
+        let domain = &conf["domain"];
+        put(&mut named, format!("command_group.{k}.need"), domain["needs_by_class"].get(k), 1.0);
+        put(&mut named, format!("command_group.{k}.bound"), domain["class_bound"].get(k), 1_000.0);
+    }
+    named
+}
+
+fn put(named: &mut Named, name: String, found: Option<&Json>, unit: f64) {
+    let value = match found {
+        Some(Json::Number(number)) => Value::Number(number.as_f64().unwrap_or(0.0) / unit),
+        Some(Json::Bool(flag)) => Value::Flag(*flag),
+        Some(Json::String(word)) => {
+            let ours =
+                WORDS.iter().find(|(theirs, _)| theirs == word).map_or(word.as_str(), |(_, ours)| ours);
+            Value::Text(ours.into())
+        }
+        _ => return,
+    };
+    named.insert(name, value);
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,852 @@
+//! Where each command of a replicated store goes: all of tansyjunction's decisions.
+//!
+//! The module is asked, as a client library is, through three calls: [`Router::place`] (where to send this
+//! command: dispatch, not yet, never), [`Router::after`] (what to do after this outcome) and [`Router::wait`]
+//! (how long until the next question, and which probes are due). Notices return nothing: [`Router::listed`],
+//! [`Router::probed`], [`Router::told`] and [`Router::client_gone`]. The types are in `interface.rs`. The caller
+//! keeps the timers and the commands with their dispatch history and decides nothing.
+//!
+//! The ordinary path is the design's (`docs/design.md`). Six mechanisms stand beside it:
+//!
+//! 1. Wellness: a member that is silent, refuses, or fails much of what it gets does not qualify.
+//! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less.
+//! 3. Copies: a read that outlasts its patience gets a second copy or another try, out of a small budget.
+//! 4. Room: a member gets as many commands at once as it answers in time; the rest is held, then throttled.
+//! 5. Warming: a cold member gets this router's share of a budget that its size can bear.
+//! 6. Search: without a well primary, writes and faster probes look for the next one.
+
+use std::collections::BTreeMap;
+
+use crate::chance::Chance;
+use crate::decaying::Decaying;
+use crate::interface::*;
+
+const MILLI: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+// --- The design's figures ---
+/// Acceptable latency above the lowest average ping (the source's default).
+const LATENCY_WINDOW: f64 = 15.0 * MILLI as f64;
+/// Part of each new round trip in the average ping (the design's start).
+const PING_WEIGHT: f64 = 0.2;
+/// Between probes of one member while its group is in use (the design's start).
+const PROBE_EVERY: Micros = SECOND / 2;
+/// Members that a failed read tries (the source's figure).
+const READ_TRIES: usize = 3;
+/// Before a write is tried again on members that all missed: a fraction of the shortest election seen.
+const ROUND_WAIT: Micros = 250 * MILLI;
+
+// --- Evidence ---
+/// How old a listed role may be: lists run seconds late, and fresher evidence must not lose to them.
+const LIST_LAG: Micros = 5 * SECOND;
+/// How old a report may be: its refresh and its way, a few tenths of a second.
+const REPORT_AGE: Micros = 300 * MILLI;
+/// A group without commands for so long is no longer probed: several sessions' pauses.
+const GROUP_IDLE: Micros = 10 * SECOND;
+/// Between probes while a group lacks a well primary: a small part of an election.
+const SEARCH_EVERY: Micros = 150 * MILLI;
+
+// --- Wellness ---
+/// Failures count half as much after this long: a few probes' time, so that a mended member soon returns.
+const FAIL_HALF_LIFE: Micros = 3 * SECOND;
+/// Share of failures above which a member does not qualify: more often wrong than right.
+const FAIL_SHARE: f64 = 0.5;
+/// Silence and patience: this many times the mean time of the command's kind; few healthy answers take longer.
+const PATIENCE: f64 = 3.0;
+/// Patience is at least this part of the response target (tries are cheap to wait for below it)...
+const PATIENCE_LEAST: f64 = 0.25;
+/// ...and at most this part, so that another try still has time.
+const PATIENCE_MOST: f64 = 0.6;
+
+// --- Crowding ---
+/// Part of each answer's waiting in a member's average: about the last ten answers count.
+const WAIT_WEIGHT: f64 = 0.1;
+/// An average without news halves in this time, so that an avoided member is tried again.
+const WAIT_HALF_LIFE: Micros = 2 * SECOND;
+/// Part of the response target that a member's waiting may take before its zone is left for another.
+const CROWDED: f64 = 0.25;
+/// How fast the usual times of a command group follow new ones: over some fifty answers.
+const USUAL_WEIGHT: f64 = 0.02;
+
+// --- Copies ---
+/// Further dispatches of reads as a part of first ones: enough for failures, too little for a storm.
+const COPY_SHARE: f64 = 0.1;
+/// Further dispatches allowed at any time, for routers with little traffic.
+const COPY_LEAST: f64 = 3.0;
+/// Over which time further and first dispatches are compared: longer than a burst of failures.
+const COPY_HALF_LIFE: Micros = 5 * SECOND;
+
+// --- Room ---
+/// Commands out at a member to start with: some cores' worth.
+const ROOM_START: f64 = 16.0;
+/// Room never falls below this: one command must be able to prove a member well.
+const ROOM_LEAST: f64 = 2.0;
+/// Part of the response target spent waiting at a member that shrinks its room.
+const ROOM_WAIT: f64 = 0.35;
+/// What one late answer takes off the room, as a part of one command: about a tenth off over a roomful.
+const ROOM_SHRINK: f64 = 0.3;
+/// Part of the response target for which a command may be held for want of room before it is throttled.
+const HELD_MOST: f64 = 0.4;
+/// Part of a primary's room that reads may fill: writes have nowhere else to go.
+const READ_ROOM: f64 = 0.5;
+/// Between questions about a held command: a few rounds of the caller.
+const HELD_POLL: Micros = 10 * MILLI;
+/// The advice to a throttled client, as a part of the response target.
+const COME_BACK: f64 = 0.5;
+
+// --- Warming ---
+/// Over which time a member's usual work is measured: longer than a restart takes to be forgotten.
+const WORK_HALF_LIFE: Micros = 20 * SECOND;
+/// Part of this router's share that is used: the rest covers chance and uneven gateways.
+const WARMING_SHARE: f64 = 0.5;
+
+/// One member of a group, as this router sees it.
+#[derive(Clone, Default)]
+struct Member {
+    group: usize,
+    zone: usize,
+    size: f64,
+    serving: bool,
+    started: Option<Micros>,
+    listed_primary: bool,
+    /// Latest evidence for and against its being the primary.
+    claimed: Option<Micros>,
+    denied: Option<Micros>,
+    /// Known position, when it was known, and how far behind the clock it stood then.
+    position: Micros,
+    placed: Micros,
+    ping: Option<f64>,
+    probed: Option<Micros>,
+    probe_out: bool,
+    down: bool,
+    answered_at: Micros,
+    failures: Decaying,
+    answers: Decaying,
+    waiting: f64,
+    waiting_at: Micros,
+    /// Sent time and command group of each dispatch that is out.
+    out: Vec<(Micros, usize)>,
+    room: f64,
+    /// Work sent: for its usual rate, and within the window of the cold rule.
+    work: Decaying,
+    recent_work: Vec<(Micros, f64)>,
+}
+
+/// A group of one primary and its replicas.
+#[derive(Clone, Default)]
+struct Group {
+    members: Vec<usize>,
+    primary: Option<usize>,
+    /// Rises with each change of primary; ties of an older age are void.
+    age: u64,
+    first_command: Option<Micros>,
+    last_command: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Need {
+    Write,
+    Fresh,
+    Session,
+    Bounded(Micros),
+    Any,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Effect {
+    Replayable,
+    Keyed,
+    Mutating,
+}
+
+/// What the settings and the answers so far tell of a command group.
+#[derive(Clone)]
+struct Kind {
+    need: Need,
+    effect: Effect,
+    /// Keyed: repeats are dropped by any server, in its zone, or in its group; and for how long.
+    scope_all: bool,
+    scope_zone: bool,
+    repeat_within: Micros,
+    response_target: Micros,
+    late_benefit: f64,
+    /// Usual time of a prompt answer, and of any answer.
+    prompt: f64,
+    mean: f64,
+    mean_known: bool,
+}
+
+/// One gateway's router.
+pub struct Router {
+    named: Named,
+    chance: Chance,
+    zone: usize,
+    kinds: Vec<Kind>,
+    members: BTreeMap<usize, Member>,
+    groups: BTreeMap<usize, Group>,
+    /// A session's member, with the command group and the age of its group when it was tied.
+    ties: BTreeMap<usize, (usize, usize, u64)>,
+    /// Commit of a session's last write, where the router has to remember it.
+    written: BTreeMap<usize, Micros>,
+    firsts: Decaying,
+    copies: Decaying,
+    watch_due: Option<Micros>,
+}
+
+impl Router {
+    pub fn new(named: Named, seed: u64) -> Result<Self, String> {
+        let mut router = Router {
+            chance: Chance::new(seed),
+            zone: 0,
+            kinds: Vec::new(),
+            members: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            ties: BTreeMap::new(),
+            written: BTreeMap::new(),
+            firsts: Decaying::default(),
+            copies: Decaying::default(),
+            watch_due: None,
+            named,
+        };
+        router.zone = router.number("zone", 0.0) as usize;
+        if router.text("list_mode") == "ask" {
+            router.watch_due = Some(0);
+        }
+        let count = router.number("command_groups", 0.0) as usize;
+        if count == 0 {
+            return Err("setting 'command_groups' names no command group".into());
+        }
+        for k in 0..count {
+            let kind = router.kind(k)?;
+            router.kinds.push(kind);
+        }
+        Ok(router)
+    }
+
+    fn kind(&self, k: usize) -> Result<Kind, String> {
+        let name = |part: &str| format!("command_group.{k}.{part}");
+        let positive = |part: &str| match self.number(&name(part), 0.0) {
+            n if n >= 1.0 => Ok(n as Micros),
+            n => Err(format!("setting '{}' is {n}, not a time above zero", name(part))),
+        };
+        let bound = self.number(&name("bound"), 0.0);
+        if bound < 0.0 {
+            return Err(format!("setting '{}' is below zero", name("bound")));
+        }
+        let response_target = positive("response_target")?;
+        positive("client_timeout")?;
+        // A need or effect that is not known here is treated as the strictest one.
+        let need = match self.text(&name("need")) {
+            "any" => Need::Any,
+            "bounded" => Need::Bounded(bound as Micros),
+            "session" => Need::Session,
+            "fresh" => Need::Fresh,
+            _ => Need::Write,
+        };
+        let effect = match self.text(&name("effect")) {
+            "replayable" => Effect::Replayable,
+            "keyed" => Effect::Keyed,
+            _ => Effect::Mutating,
+        };
+        let scope = self.text(&name("scope"));
+        Ok(Kind {
+            need,
+            effect,
+            scope_all: scope == "all",
+            scope_zone: scope == "zone",
+            repeat_within: if effect == Effect::Keyed { positive("repeat_within")? } else { 0 },
+            response_target,
+            late_benefit: self.number(&name("late_benefit"), 0.0),
+            prompt: response_target as f64 / 10.0,
+            mean: response_target as f64 / 5.0,
+            mean_known: false,
+        })
+    }
+
+    fn number(&self, name: &str, default: f64) -> f64 {
+        match self.named.get(name) {
+            Some(Value::Number(n)) => *n,
+            _ => default,
+        }
+    }
+
+    fn text(&self, name: &str) -> &str {
+        match self.named.get(name) {
+            Some(Value::Text(text)) => text,
+            _ => "",
+        }
+    }
+
+    fn flag(&self, name: &str, default: bool) -> bool {
+        match self.named.get(name) {
+            Some(Value::Flag(flag)) => *flag,
+            _ => default,
+        }
+    }
+
+    // --- Notices ---
+
+    /// The server list, or changes to it; a whole list drops what it leaves out. None: the call failed.
+    pub fn listed(&mut self, now: Micros, entries: Option<&[Listed]>, whole: bool) {
+        let Some(entries) = entries else {
+            self.watch_due = Some(now + SECOND);
+            return;
+        };
+        if whole {
+            for (server, member) in &mut self.members {
+                member.serving &= entries.iter().any(|entry| entry.server == *server);
+            }
+        }
+        for entry in entries {
+            let group = self.groups.entry(entry.group).or_default();
+            if !group.members.contains(&entry.server) {
+                group.members.push(entry.server);
+                group.members.sort_unstable();
+            }
+            let member = self
+                .members
+                .entry(entry.server)
+                .or_insert_with(|| Member { room: ROOM_START, ..Member::default() });
+            let advice_only = entry.standing == Standing::Gone;
+            if entry.standing == Standing::Serving && entry.started != member.started {
+                // A new process: what was known of the old one's health no longer tells anything.
+                member.started = entry.started;
+                member.failures = Decaying::default();
+            }
+            member.serving = entry.standing == Standing::Serving;
+            if !advice_only {
+                (member.group, member.zone, member.size) = (entry.group, entry.zone, entry.size.max(0.01));
+            }
+            if entry.primary && !member.listed_primary {
+                member.claimed = member.claimed.max(Some(now.saturating_sub(LIST_LAG)));
+            }
+            member.listed_primary = entry.primary;
+            self.note_primary(entry.group);
+        }
+    }
+
+    /// A probe came back after `took`; None: it failed.
+    pub fn probed(&mut self, now: Micros, server: usize, took: Micros, ok: bool, report: Option<Report>) {
+        let Some(member) = self.members.get_mut(&server) else { return };
+        member.probe_out = false;
+        member.down = !ok;
+        if ok {
+            let ping = member.ping.unwrap_or(took as f64);
+            member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
+        }
+        if let Some(report) = report {
+            self.note(now, server, report, now.saturating_sub(REPORT_AGE));
+        }
+    }
+
+    /// A message from another router: none is sent so far, and what arrives is not relied on.
+    pub fn told(&mut self, _now: Micros, _peer: usize, _body: &str) {}
+
+    /// The client of this command has gone; its dispatches still end one by one.
+    pub fn client_gone(&mut self, _now: Micros, _held: &Held) {}
+
+    /// Takes in what a server said of itself, known to hold at `as_of` where it does not tell.
+    fn note(&mut self, now: Micros, server: usize, report: Report, as_of: Micros) {
+        let Some(member) = self.members.get_mut(&server) else { return };
+        if let Some(position) = report.position.filter(|p| *p > member.position) {
+            (member.position, member.placed) = (position, now);
+        }
+        let group = member.group;
+        match report.primary {
+            Some(true) => {
+                member.claimed = member.claimed.max(Some(report.position.unwrap_or(as_of).max(as_of)))
+            }
+            Some(false) => member.denied = member.denied.max(Some(as_of)),
+            None => return,
+        }
+        self.note_primary(group);
+    }
+
+    /// Newest evidence first: the latest claim that was not denied since.
+    fn note_primary(&mut self, group: usize) {
+        let Some(group) = self.groups.get_mut(&group) else { return };
+        let claims = group.members.iter().filter_map(|server| {
+            let member = &self.members[server];
+            member
+                .claimed
+                .filter(|at| member.serving && member.denied.is_none_or(|no| no < *at))
+                .map(|at| (at, *server))
+        });
+        let primary = claims.max().map(|(_, server)| server);
+        if primary != group.primary {
+            // A change of primary clears all ties of its group.
+            group.primary = primary;
+            group.age += 1;
+        }
+    }
+
+    // --- Where to send this command ---
+
+    pub fn place(&mut self, now: Micros, held: &Held) -> Place {
+        let cmd = &held.command;
+        let Some(kind) = self.kinds.get(cmd.command_group).cloned() else {
+            return Place::Never(Final::Failed);
+        };
+        if let Some(group) = self.groups.get_mut(&cmd.group) {
+            group.first_command.get_or_insert(now);
+            group.last_command = now;
+        }
+        let out = held.dispatches.iter().filter(|d| d.ended.is_none()).count();
+        if out > 0 {
+            let late =
+                held.dispatches.iter().filter(|d| d.ended.is_none()).map(|d| d.sent).max().unwrap_or(now);
+            let copy = kind.effect == Effect::Replayable
+                && kind.need != Need::Write
+                && out == 1
+                && self.flag("limits.second_copies", false)
+                && now >= late + self.patience(&kind)
+                && held.dispatches.len() < READ_TRIES
+                && now + kind.prompt as Micros <= cmd.arrived + kind.response_target;
+            if !copy || !self.may_copy(now) {
+                return Place::NotYet;
+            }
+        }
+        // A final answer must be out before the client timeout, with a round of the caller to spare.
+        let left = cmd.client_timeout.saturating_sub(now);
+        if left <= self.number("round", 5_000.0) as Micros {
+            return if out > 0 { Place::NotYet } else { self.give_up(held, &kind) };
+        }
+        if !self.may_dispatch(now, held, &kind) {
+            return if out > 0 { Place::NotYet } else { self.give_up(held, &kind) };
+        }
+        let waited = now.saturating_sub(cmd.arrived);
+        if kind.late_benefit <= 0.0 && waited >= kind.response_target && out == 0 {
+            return self.give_up(held, &kind);
+        }
+        let server = match kind.need {
+            Need::Write | Need::Fresh => self.write_target(now, held, &kind),
+            _ => self.read_target(now, held, &kind),
+        };
+        let Some(server) = server else {
+            let failed =
+                held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count();
+            let spent = kind.need != Need::Write && failed >= READ_TRIES;
+            let room_wanted = self.room_wanted(now, cmd.group, &kind);
+            let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST && room_wanted;
+            return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
+        };
+        self.send(now, held, &kind, server, left, out > 0)
+    }
+
+    /// True where the group's well primary, or for reads any member, is there and only room is missing.
+    fn room_wanted(&self, now: Micros, group: usize, kind: &Kind) -> bool {
+        let Some(group) = self.groups.get(&group) else { return true };
+        match kind.need {
+            Need::Write => group.primary.is_some_and(|server| self.well(now, server)),
+            _ => true,
+        }
+    }
+
+    /// The once-only rule, the dispatch limit and the window of keyed commands.
+    fn may_dispatch(&self, now: Micros, held: &Held, kind: &Kind) -> bool {
+        if held.dispatches.len() >= self.number("limits.max_dispatches", 1.0) as usize {
+            return false;
+        }
+        let mut maybe_ran = held.dispatches.iter().filter(|d| d.ended.is_none_or(|e| !e.never_ran()));
+        match (kind.effect, maybe_ran.next()) {
+            (_, None) | (Effect::Replayable, _) => true,
+            (Effect::Mutating, Some(_)) => false,
+            // A dispatch leaves at once, so the window need only be open now.
+            (Effect::Keyed, Some(first)) => now < first.sent + kind.repeat_within && !kind.scope_zone,
+        }
+    }
+
+    /// Having given up, the command is answered at once: throttled where a new try surely does no harm.
+    fn give_up(&self, held: &Held, kind: &Kind) -> Place {
+        let maybe_ran = held.dispatches.iter().any(|d| d.ended.is_none_or(|e| !e.never_ran()));
+        let harmless = match kind.effect {
+            Effect::Replayable => true,
+            Effect::Keyed => !maybe_ran || kind.scope_all,
+            Effect::Mutating => !maybe_ran,
+        };
+        if !harmless {
+            return Place::Never(Final::Failed);
+        }
+        let advice = (kind.response_target as f64 * COME_BACK).min(self.number("limits.max_come_back", 0.0));
+        let come_back = if self.flag("limits.come_back", false) { advice as Micros } else { 0 };
+        Place::Never(Final::Throttled { come_back })
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        held: &Held,
+        kind: &Kind,
+        server: usize,
+        left: Micros,
+        copy: bool,
+    ) -> Place {
+        let cmd = &held.command;
+        if held.dispatches.is_empty() {
+            self.firsts.add(now, COPY_HALF_LIFE, 1.0);
+        } else if copy || held.dispatches.iter().any(|d| d.ended == Some(Ending::TimedOut)) {
+            self.copies.add(now, COPY_HALF_LIFE, 1.0);
+        }
+        if kind.need == Need::Session
+            && let Some(session) = cmd.session
+        {
+            let age = self.groups.get(&cmd.group).map_or(0, |group| group.age);
+            self.ties.insert(session, (server, cmd.command_group, age));
+        }
+        // Where a second copy may not run beside the first, a read gives up its try to have time for another.
+        let another = held.dispatches.len() + 1 < READ_TRIES && self.may_copy(now);
+        let retry = kind.effect == Effect::Replayable && kind.need != Need::Write && another;
+        let timeout = if retry && !self.flag("limits.second_copies", false) {
+            left.min(self.patience(kind))
+        } else {
+            left
+        };
+        let window = self.number("rules.fall_for", 0.0) as Micros;
+        if let Some(member) = self.members.get_mut(&server) {
+            member.out.push((now, cmd.command_group));
+            member.work.add(now, WORK_HALF_LIFE, kind.mean);
+            member.recent_work.retain(|(at, _)| *at + window > now);
+            member.recent_work.push((now, kind.mean));
+        }
+        Place::Dispatch { server, timeout }
+    }
+
+    fn patience(&self, kind: &Kind) -> Micros {
+        let target = kind.response_target as f64;
+        (kind.mean * PATIENCE).clamp(target * PATIENCE_LEAST, target * PATIENCE_MOST) as Micros
+    }
+
+    fn may_copy(&self, now: Micros) -> bool {
+        let firsts = self.firsts.read(now, COPY_HALF_LIFE);
+        self.copies.read(now, COPY_HALF_LIFE) < firsts * COPY_SHARE + COPY_LEAST
+    }
+
+    // --- The design's choice ---
+
+    /// Writes and fresh reads: the known primary; without one, members in turn, waiting after a round.
+    fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
+        let group = self.groups.get(&held.command.group)?;
+        if let Some(primary) = group.primary.filter(|server| self.well(now, *server)) {
+            let open = self.has_room(now, primary, 1.0) && self.in_scope(held, kind, primary);
+            return open.then_some(primary);
+        }
+        // A member that does not check would answer a fresh read from what it has.
+        if kind.need == Need::Fresh && !matches!(self.text("guards"), "wait" | "refuse") {
+            return None;
+        }
+        // The last dispatches are kept for a primary that shows up.
+        let spare = self.number("limits.max_dispatches", 1.0) as usize / 2;
+        if held.dispatches.len() >= spare.max(1) {
+            return None;
+        }
+        let untried = group.members.iter().copied().filter(|server| {
+            let member = &self.members[server];
+            group.primary != Some(*server)
+                && member.denied.is_none_or(|at| at + ROUND_WAIT <= now)
+                && self.well(now, *server)
+                && self.has_room(now, *server, 1.0)
+                && self.in_scope(held, kind, *server)
+        });
+        let untried: Vec<usize> = untried.collect();
+        if untried.is_empty() {
+            return None;
+        }
+        Some(untried[self.chance.below(untried.len())])
+    }
+
+    /// A keyed command that may have run goes only where its repeat is dropped.
+    fn in_scope(&self, held: &Held, kind: &Kind, server: usize) -> bool {
+        if kind.effect != Effect::Keyed || !kind.scope_zone {
+            return true;
+        }
+        let zone = |server| self.members.get(&server).map(|m| m.zone);
+        held.dispatches
+            .iter()
+            .filter(|d| d.ended.is_none_or(|e| !e.never_ran()))
+            .all(|d| zone(d.server) == zone(server))
+    }
+
+    /// The data a read needs, as a position; None: any will do.
+    fn bound(&self, now: Micros, cmd: &Command, kind: &Kind) -> Option<Micros> {
+        match kind.need {
+            Need::Bounded(bound) => Some(now.saturating_sub(bound)),
+            Need::Session if self.text("session_marks") == "carried" => {
+                cmd.written_ago.filter(|ago| *ago > 0).map(|ago| cmd.arrived.saturating_sub(ago))
+            }
+            Need::Session => cmd.session.and_then(|session| self.written.get(&session).copied()),
+            _ => None,
+        }
+    }
+
+    fn read_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
+        let cmd = &held.command;
+        let group = self.groups.get(&cmd.group)?;
+        let waited = now.saturating_sub(cmd.arrived);
+        // A new router waits for the first probe answers, up to the response target.
+        let unheard = group.members.iter().all(|server| self.members[server].ping.is_none());
+        let probes = self.flag("limits.probes", false);
+        if probes && unheard && waited < kind.response_target {
+            return None;
+        }
+        let failed = held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count();
+        if failed >= READ_TRIES {
+            return None;
+        }
+        let tried = |server: usize| held.dispatches.iter().any(|d| d.server == server);
+        let guarded = matches!(self.text("guards"), "wait" | "refuse");
+        let bound = self.bound(now, cmd, kind);
+        let usable = |server: &usize| !tried(*server) && self.well(now, *server);
+        let replicas: Vec<usize> =
+            group.members.iter().copied().filter(|s| group.primary != Some(*s)).filter(usable).collect();
+        let fresh: Vec<usize> = replicas
+            .iter()
+            .copied()
+            .filter(|s| bound.is_none_or(|b| self.fresh(now, *s, b, guarded)))
+            .collect();
+        let tie = cmd.session.and_then(|session| self.ties.get(&session)).copied();
+        if let Some((server, command_group, age)) = tie
+            && (command_group, age) == (cmd.command_group, group.age)
+            && fresh.contains(&server)
+            && self.has_room(now, server, 1.0)
+        {
+            return Some(server);
+        }
+        let primary = group.primary.filter(|s| usable(s) && self.has_room(now, *s, READ_ROOM));
+        let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, 1.0)).collect();
+        if !roomy.is_empty() {
+            return self.nearest(now, &roomy, kind);
+        }
+        // No replica left: the primary; where servers check the bound themselves, the most advanced replica first.
+        if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
+            let advanced = replicas.iter().copied().filter(|s| self.has_room(now, *s, 1.0));
+            let advanced = advanced.max_by_key(|s| (self.members[s].position, *s));
+            if advanced.is_some() {
+                return advanced;
+            }
+        }
+        primary
+    }
+
+    /// Own zone first, then wider; there the members near the lowest ping, one of them at random.
+    fn nearest(&mut self, now: Micros, servers: &[usize], kind: &Kind) -> Option<usize> {
+        let cost = |server: &usize| {
+            let member = &self.members[server];
+            member.ping.unwrap_or(0.0) + self.waiting(now, member)
+        };
+        let crowded = kind.response_target as f64 * CROWDED;
+        let own = |server: &&usize| self.members[*server].zone == self.zone;
+        let lowest = servers.iter().map(cost).fold(f64::INFINITY, f64::min);
+        let near: Vec<usize> =
+            servers.iter().filter(own).copied().filter(|s| cost(s) < lowest + crowded).collect();
+        let pool = if near.is_empty() { servers.to_vec() } else { near };
+        let lowest = pool.iter().map(cost).fold(f64::INFINITY, f64::min);
+        // Waiting times are noisy by about one command's work, pings are not.
+        let window = LATENCY_WINDOW + kind.prompt;
+        let pool: Vec<usize> = pool.into_iter().filter(|s| cost(s) <= lowest + window).collect();
+        Some(pool[self.chance.below(pool.len())])
+    }
+
+    /// Whether a replica reaches `bound`: known to, or where it checks itself, not known to fall short.
+    fn fresh(&self, now: Micros, server: usize, bound: Micros, guarded: bool) -> bool {
+        let member = &self.members[&server];
+        let since = if guarded { now.saturating_sub(member.placed) } else { 0 };
+        member.position + since >= bound || guarded && member.position == 0
+    }
+
+    // --- Wellness, crowding, room, warming ---
+
+    fn well(&self, now: Micros, server: usize) -> bool {
+        let Some(member) = self.members.get(&server) else { return false };
+        // A member that took commands and answers none is silent, whatever its probes say.
+        let silent = member
+            .out
+            .iter()
+            .any(|(sent, k)| *sent > member.answered_at && now > *sent + self.patience(&self.kinds[*k]));
+        let failures = member.failures.read(now, FAIL_HALF_LIFE);
+        let answers = member.answers.read(now, FAIL_HALF_LIFE);
+        let failing = failures > FAIL_SHARE * (failures + answers + 1.0);
+        member.serving && !member.down && !silent && !failing
+    }
+
+    fn waiting(&self, now: Micros, member: &Member) -> f64 {
+        let idle = now.saturating_sub(member.waiting_at) as f64;
+        member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2()
+    }
+
+    fn has_room(&self, now: Micros, server: usize, share: f64) -> bool {
+        let member = &self.members[&server];
+        (member.out.len() as f64) < (member.room * share).max(1.0) && self.warm_enough(now, member)
+    }
+
+    /// A cold member gets no more than this router's share of what the rule on cold servers allows. A member of its
+    /// size carries at least what this router sends the busiest one, summed over routers; a cold one a part of that.
+    fn warm_enough(&self, now: Micros, member: &Member) -> bool {
+        let cold = self.number("rules.cold", 0.0);
+        let Some(started) = member.started else { return true };
+        let age = now.saturating_sub(started) as f64;
+        if age >= cold {
+            return true;
+        }
+        let from = self.number("rules.cold_from", 1.0);
+        let part = from + (1.0 - from) * age / cold;
+        let window = self.number("rules.fall_for", 0.0);
+        let usual =
+            |m: &Member| m.work.read(now, WORK_HALF_LIFE) / m.size / WORK_HALF_LIFE as f64 * 2f64.ln();
+        let rate = self.members.values().map(usual).fold(0.0, f64::max) * member.size;
+        let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
+        let sent =
+            member.recent_work.iter().filter(|(at, _)| *at + window as Micros > now).map(|(_, work)| work);
+        member.out.is_empty() && member.recent_work.len() <= 1 || sent.sum::<f64>() < budget
+    }
+
+    // --- What to do after an outcome ---
+
+    pub fn after(&mut self, now: Micros, held: &Held, outcome: &Outcome) -> After {
+        let Some(dispatch) = held.dispatches.get(outcome.dispatch) else { return After::Ask };
+        let k = held.command.command_group;
+        self.learn(now, k, dispatch, outcome);
+        let commit = outcome.stated.position.filter(|_| outcome.ending == Ending::Answered);
+        let write = self.kinds.get(k).is_some_and(|kind| kind.need == Need::Write);
+        let stated = if write && commit.is_some() {
+            if let (Some(session), Some(commit)) = (held.command.session, commit) {
+                self.written.insert(session, commit);
+            }
+            Report { position: None, ..outcome.stated }
+        } else {
+            outcome.stated
+        };
+        self.note(now, dispatch.server, stated, now);
+        if let Some(report) = outcome.report {
+            self.note(now, dispatch.server, report, now.saturating_sub(REPORT_AGE));
+        }
+        if matches!(outcome.ending, Ending::Reset | Ending::Unconnected)
+            && let Some(session) = held.command.session
+        {
+            self.ties.remove(&session);
+        }
+        if !outcome.over {
+            return After::Ask;
+        }
+        let out = held.dispatches.iter().enumerate().filter(|(_, d)| d.ended.is_none()).map(|(n, _)| n);
+        After::Over { recall: if self.flag("limits.recalls", false) { out.collect() } else { Vec::new() } }
+    }
+
+    fn learn(&mut self, now: Micros, k: usize, dispatch: &Dispatch, outcome: &Outcome) {
+        let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
+        else {
+            return;
+        };
+        if let Some(place) = member.out.iter().position(|o| *o == (dispatch.sent, k)) {
+            member.out.swap_remove(place);
+        }
+        let target = kind.response_target as f64;
+        match outcome.ending {
+            Ending::Answered => {
+                let took = outcome.took as f64;
+                let weight = if took < kind.prompt { 5.0 * USUAL_WEIGHT } else { USUAL_WEIGHT };
+                kind.prompt += weight * (took - kind.prompt).clamp(-kind.prompt, kind.prompt);
+                kind.mean =
+                    if kind.mean_known { kind.mean + USUAL_WEIGHT * (took - kind.mean) } else { took };
+                kind.mean_known = true;
+                let waited = (took - kind.prompt).max(0.0);
+                let idle = now.saturating_sub(member.waiting_at) as f64;
+                let before = member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2();
+                member.waiting = before + WAIT_WEIGHT * (waited - before);
+                member.waiting_at = now;
+                if waited > target * ROOM_WAIT {
+                    member.room = (member.room - ROOM_SHRINK).max(ROOM_LEAST);
+                } else if member.out.len() as f64 >= member.room / 2.0 {
+                    member.room += 1.0 / member.room;
+                }
+                member.answers.add(now, FAIL_HALF_LIFE, 1.0);
+                (member.answered_at, member.down) = (now, false);
+            }
+            Ending::Missed => {
+                (member.answered_at, member.down) = (now, false);
+                if kind.need == Need::Write {
+                    member.denied = member.denied.max(Some(now));
+                }
+                let group = member.group;
+                self.note_primary(group);
+            }
+            Ending::SentBack => {
+                member.answered_at = now;
+                member.room = (member.room * (1.0 - ROOM_SHRINK)).max(ROOM_LEAST);
+            }
+            Ending::Errored => {
+                member.answered_at = now;
+                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
+            }
+            Ending::TimedOut if member.answered_at < dispatch.sent => {
+                // Nothing came since it was sent: as good as down until a probe or an answer says otherwise.
+                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
+                member.down = true;
+            }
+            Ending::Unconnected | Ending::Reset => {
+                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
+                member.down = true;
+            }
+            Ending::TimedOut | Ending::Recalled | Ending::Unsent => {}
+        }
+    }
+
+    // --- How long to wait ---
+
+    /// With a command: until `place` is to be asked about it again. Without: until the next call, with what is due.
+    pub fn wait(&mut self, now: Micros, held: Option<&Held>) -> Wait {
+        match held {
+            Some(held) => Wait { micros: self.patience_left(now, held), ..Wait::default() },
+            None => self.due(now),
+        }
+    }
+
+    fn patience_left(&self, now: Micros, held: &Held) -> Micros {
+        let cmd = &held.command;
+        let round = self.number("round", 5_000.0) as Micros;
+        let left = cmd.client_timeout.saturating_sub(now + round);
+        let Some(kind) = self.kinds.get(cmd.command_group) else { return left };
+        let out = held.dispatches.iter().filter(|d| d.ended.is_none());
+        match out.map(|d| d.sent).max() {
+            None => HELD_POLL.min(left),
+            Some(sent) => {
+                let due = sent + self.patience(kind);
+                if due > now { due - now } else { (10 * HELD_POLL).min(left) }
+            }
+        }
+    }
+
+    fn due(&mut self, now: Micros) -> Wait {
+        let mut wait = Wait { micros: SECOND, ..Wait::default() };
+        if let Some(due) = self.watch_due {
+            wait.watch = due <= now;
+            if wait.watch {
+                self.watch_due = None;
+            }
+        }
+        if !self.flag("limits.probes", false) {
+            return wait;
+        }
+        for group in self.groups.values() {
+            if group.first_command.is_none() || group.last_command + GROUP_IDLE < now {
+                continue;
+            }
+            let lost = !group.primary.is_some_and(|server| self.well(now, server));
+            let every = if lost { SEARCH_EVERY } else { PROBE_EVERY };
+            for server in &group.members {
+                let Some(member) = self.members.get_mut(server) else { continue };
+                if !member.serving || member.probe_out {
+                    continue;
+                }
+                let next = member.probed.map_or(now, |at| at + every);
+                if next <= now {
+                    member.probed = Some(now);
+                    member.probe_out = true;
+                    wait.probes.push(*server);
+                } else {
+                    wait.micros = wait.micros.min(next - now);
+                }
+            }
+        }
+        wait
+    }
+}
--- /dev/null
+++ b/src/decaying.rs
@@ -0,0 +1,36 @@
+//! A sum whose older parts fade: each addition counts half as much after every half-life.
+
+use crate::interface::Micros;
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Decaying {
+    sum: f64,
+    at: Micros,
+}
+
+impl Decaying {
+    pub fn add(&mut self, now: Micros, half_life: Micros, amount: f64) {
+        self.sum = self.read(now, half_life) + amount;
+        self.at = now;
+    }
+
+    pub fn read(&self, now: Micros, half_life: Micros) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / half_life as f64).exp2()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Decaying;
+
+    #[test]
+    fn halves_with_each_half_life() {
+        let mut sum = Decaying::default();
+        sum.add(1_000, 100, 8.0);
+        for (now, expected) in [(1_000, 8.0), (1_100, 4.0), (1_300, 1.0)] {
+            assert!((sum.read(now, 100) - expected).abs() < 1e-9);
+        }
+        sum.add(1_100, 100, 1.0);
+        assert!((sum.read(1_200, 100) - 2.5).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,154 @@
+//! The plain values that a [`Router`](crate::Router) is asked with and answers with.
+//!
+//! Times are whole microseconds on one clock that only goes forward. Servers, groups and sessions are small
+//! indices that the caller hands out; zones and command groups are their places in the settings.
+
+use std::collections::BTreeMap;
+
+pub type Micros = u64;
+
+/// One value of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Text(String),
+    Flag(bool),
+}
+
+/// Settings as dotted names, such as `command_group.0.response_target`; absent names take their defaults.
+pub type Named = BTreeMap<String, Value>;
+
+/// A command in hand.
+#[derive(Clone, Debug, Default)]
+pub struct Command {
+    pub command_group: usize,
+    pub group: usize,
+    pub session: Option<usize>,
+    pub arrived: Micros,
+    /// When the client stops waiting for this try.
+    pub client_timeout: Micros,
+    /// How long before arrival the session's last write was committed, where clients bring that along.
+    pub written_ago: Option<Micros>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Errored,
+    SentBack,
+    TimedOut,
+    Unconnected,
+    Reset,
+    Recalled,
+    Unsent,
+    Missed,
+}
+
+impl Ending {
+    /// True where the ending proves that the command did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::SentBack | Ending::Unconnected | Ending::Unsent | Ending::Missed)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    pub server: usize,
+    pub sent: Micros,
+    /// None while it is out.
+    pub ended: Option<Ending>,
+}
+
+/// A command with its dispatches so far, as the caller keeps it.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    pub command: Command,
+    pub dispatches: Vec<Dispatch>,
+}
+
+/// What a server says of itself, in an answer or a probe; what it leaves out is None.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Up to when the server has applied all commits.
+    pub position: Option<Micros>,
+    pub primary: Option<bool>,
+    pub queue: Option<f64>,
+    pub busy: Option<f64>,
+}
+
+/// How a dispatch ended, with what came along.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Which dispatch of the command.
+    pub dispatch: usize,
+    pub ending: Ending,
+    pub took: Micros,
+    /// True once the command has its final answer.
+    pub over: bool,
+    /// What the answer itself states, exact as of now. For a write that went through, `position` is its commit.
+    pub stated: Report,
+    /// A load report that came along, some time old.
+    pub report: Option<Report>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Serving,
+    Draining,
+    Gone,
+}
+
+/// An entry of the server list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: usize,
+    pub group: usize,
+    pub zone: usize,
+    pub size: f64,
+    pub standing: Standing,
+    pub primary: bool,
+    /// When its process last started; None: long ago.
+    pub started: Option<Micros>,
+}
+
+/// Where to send a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Send it there; the dispatch times out after so long.
+    Dispatch {
+        server: usize,
+        timeout: Micros,
+    },
+    /// Keep it and ask again after the wait.
+    NotYet,
+    Never(Final),
+}
+
+/// A final answer other than the server's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// A new try does no harm, best after so long (0: no advice).
+    Throttled { come_back: Micros },
+    /// Promises nothing about the effect.
+    Failed,
+}
+
+/// What to do after an outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum After {
+    /// Ask where to send the command now.
+    Ask,
+    /// The command is over: call off these dispatches of it.
+    Over { recall: Vec<usize> },
+}
+
+/// How long to wait, and what is due before that.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Wait {
+    pub micros: Micros,
+    /// Servers to probe now.
+    pub probes: Vec<usize>,
+    /// Ask for the server list, and for its changes from now on.
+    pub watch: bool,
+}
