Bound replicas by their misses, drop blind time-outs, start with smaller rooms

Cause: reads went again and again to replicas whose miss had already told that they stood short (up to 7 dispatches a command), reads at slow servers were timed out and sent again while the first still ran, and sixteen commands a router at once filled a small server's queue past every target. Conclusion: time-outs belong to silence, not to slowness; room must start small.

--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -235,6 +235,9 @@
             }
         }
         let wait = self.router.wait(now, Some(&entry.held));
+        for go in wait.recall {
+            orders.push(json!({"recall": {"i": i, "corr": corr, "go": go}}));
+        }
         self.timers.push(Reverse((now + wait.micros.max(1), corr)));
     }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,6 +41,8 @@
 const LIST_LAG: Micros = 5 * SECOND;
 /// How old a report may be: its refresh and its way, a few tenths of a second.
 const REPORT_AGE: Micros = 300 * MILLI;
+/// How much faster than the clock a replica may catch up: its apply thread is rarely under half busy.
+const CATCH_UP: Micros = 2;
 /// A group without commands for so long is no longer probed: several sessions' pauses.
 const GROUP_IDLE: Micros = 10 * SECOND;
 /// Between probes while a group lacks a well primary: a small part of an election.
@@ -78,7 +80,7 @@
 
 // --- Room ---
 /// Commands out at a member to start with: some cores' worth.
-const ROOM_START: f64 = 16.0;
+const ROOM_START: f64 = 6.0;
 /// Room never falls below this: one command must be able to prove a member well.
 const ROOM_LEAST: f64 = 2.0;
 /// Part of the response target spent waiting at a member that shrinks its room.
@@ -115,6 +117,8 @@
     /// Known position, when it was known, and how far behind the clock it stood then.
     position: Micros,
     placed: Micros,
+    /// Where and when a read was missed: it stood short of this then.
+    short_of: Option<(Micros, Micros)>,
     ping: Option<f64>,
     probed: Option<Micros>,
     probe_out: bool,
@@ -132,6 +136,12 @@
     recent_work: Vec<(Micros, f64)>,
 }
 
+impl Member {
+    fn shrink(&mut self) {
+        self.room = (self.room - ROOM_SHRINK).max(ROOM_LEAST);
+    }
+}
+
 /// A group of one primary and its replicas.
 #[derive(Clone, Default)]
 struct Group {
@@ -349,7 +359,7 @@
     fn note(&mut self, now: Micros, server: usize, report: Report, as_of: Micros) {
         let Some(member) = self.members.get_mut(&server) else { return };
         if let Some(position) = report.position.filter(|p| *p > member.position) {
-            (member.position, member.placed) = (position, now);
+            (member.position, member.placed, member.short_of) = (position, now, None);
         }
         let group = member.group;
         match report.primary {
@@ -484,7 +494,7 @@
         let cmd = &held.command;
         if held.dispatches.is_empty() {
             self.firsts.add(now, COPY_HALF_LIFE, 1.0);
-        } else if copy || held.dispatches.iter().any(|d| d.ended == Some(Ending::TimedOut)) {
+        } else if copy || held.dispatches.iter().any(|d| d.ended == Some(Ending::Recalled)) {
             self.copies.add(now, COPY_HALF_LIFE, 1.0);
         }
         if kind.need == Need::Session
@@ -493,14 +503,6 @@
             let age = self.groups.get(&cmd.group).map_or(0, |group| group.age);
             self.ties.insert(session, (server, cmd.command_group, age));
         }
-        // Where a second copy may not run beside the first, a read gives up its try to have time for another.
-        let another = held.dispatches.len() + 1 < READ_TRIES && self.may_copy(now);
-        let retry = kind.effect == Effect::Replayable && kind.need != Need::Write && another;
-        let timeout = if retry && !self.flag("limits.second_copies", false) {
-            left.min(self.patience(kind))
-        } else {
-            left
-        };
         let window = self.number("rules.fall_for", 0.0) as Micros;
         if let Some(member) = self.members.get_mut(&server) {
             member.out.push((now, cmd.command_group));
@@ -508,7 +510,7 @@
             member.recent_work.retain(|(at, _)| *at + window > now);
             member.recent_work.push((now, kind.mean));
         }
-        Place::Dispatch { server, timeout }
+        Place::Dispatch { server, timeout: left }
     }
 
     fn patience(&self, kind: &Kind) -> Micros {
@@ -618,7 +620,10 @@
         }
         // No replica left: the primary; where servers check the bound themselves, the most advanced replica first.
         if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
-            let advanced = replicas.iter().copied().filter(|s| self.has_room(now, *s, 1.0));
+            let advanced = replicas
+                .iter()
+                .copied()
+                .filter(|s| self.has_room(now, *s, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b)));
             let advanced = advanced.max_by_key(|s| (self.members[s].position, *s));
             if advanced.is_some() {
                 return advanced;
@@ -649,8 +654,23 @@
     /// Whether a replica reaches `bound`: known to, or where it checks itself, not known to fall short.
     fn fresh(&self, now: Micros, server: usize, bound: Micros, guarded: bool) -> bool {
         let member = &self.members[&server];
-        let since = if guarded { now.saturating_sub(member.placed) } else { 0 };
-        member.position + since >= bound || guarded && member.position == 0
+        if !guarded || member.position >= bound {
+            return member.position >= bound;
+        }
+        // Between reports it is taken to stand as far behind as it did; after a miss, no nearer than that.
+        let behind = |position: Micros, at: Micros| position + now.saturating_sub(at);
+        member.short_of.is_none_or(|(at_most, at)| behind(at_most, at) > bound)
+            && (member.position == 0 || behind(member.position, member.placed) >= bound)
+    }
+
+    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet.
+    fn hopeless(&self, now: Micros, server: usize, bound: Micros) -> bool {
+        let member = &self.members[&server];
+        let gained = now.saturating_sub(member.placed) + REPORT_AGE;
+        member.position > 0 && member.position + CATCH_UP * gained < bound
+            || member
+                .short_of
+                .is_some_and(|(at_most, at)| at_most + CATCH_UP * now.saturating_sub(at) < bound)
     }
 
     // --- Wellness, crowding, room, warming ---
@@ -704,7 +724,9 @@
     pub fn after(&mut self, now: Micros, held: &Held, outcome: &Outcome) -> After {
         let Some(dispatch) = held.dispatches.get(outcome.dispatch) else { return After::Ask };
         let k = held.command.command_group;
-        self.learn(now, k, dispatch, outcome);
+        // What a missed read needed when it was sent, and the server lacked until it sent it back.
+        let needed = self.kinds.get(k).and_then(|kind| self.bound(dispatch.sent, &held.command, kind));
+        self.learn(now, k, dispatch, outcome, needed);
         let commit = outcome.stated.position.filter(|_| outcome.ending == Ending::Answered);
         let write = self.kinds.get(k).is_some_and(|kind| kind.need == Need::Write);
         let stated = if write && commit.is_some() {
@@ -731,7 +753,14 @@
         After::Over { recall: if self.flag("limits.recalls", false) { out.collect() } else { Vec::new() } }
     }
 
-    fn learn(&mut self, now: Micros, k: usize, dispatch: &Dispatch, outcome: &Outcome) {
+    fn learn(
+        &mut self,
+        now: Micros,
+        k: usize,
+        dispatch: &Dispatch,
+        outcome: &Outcome,
+        bound: Option<Micros>,
+    ) {
         let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
         else {
             return;
@@ -754,7 +783,7 @@
                 member.waiting = before + WAIT_WEIGHT * (waited - before);
                 member.waiting_at = now;
                 if waited > target * ROOM_WAIT {
-                    member.room = (member.room - ROOM_SHRINK).max(ROOM_LEAST);
+                    member.shrink();
                 } else if member.out.len() as f64 >= member.room / 2.0 {
                     member.room += 1.0 / member.room;
                 }
@@ -763,6 +792,9 @@
             }
             Ending::Missed => {
                 (member.answered_at, member.down) = (now, false);
+                if let Some(bound) = bound {
+                    member.short_of = Some((bound, now));
+                }
                 if kind.need == Need::Write {
                     member.denied = member.denied.max(Some(now));
                 }
@@ -771,7 +803,7 @@
             }
             Ending::SentBack => {
                 member.answered_at = now;
-                member.room = (member.room * (1.0 - ROOM_SHRINK)).max(ROOM_LEAST);
+                member.shrink();
             }
             Ending::Errored => {
                 member.answered_at = now;
@@ -786,6 +818,9 @@
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
                 member.down = true;
             }
+            Ending::TimedOut | Ending::Recalled if outcome.took as f64 > target * ROOM_WAIT => {
+                member.shrink()
+            }
             Ending::TimedOut | Ending::Recalled | Ending::Unsent => {}
         }
     }
@@ -795,24 +830,33 @@
     /// With a command: until `place` is to be asked about it again. Without: until the next call, with what is due.
     pub fn wait(&mut self, now: Micros, held: Option<&Held>) -> Wait {
         match held {
-            Some(held) => Wait { micros: self.patience_left(now, held), ..Wait::default() },
+            Some(held) => self.held_wait(now, held),
             None => self.due(now),
         }
     }
 
-    fn patience_left(&self, now: Micros, held: &Held) -> Micros {
+    fn held_wait(&self, now: Micros, held: &Held) -> Wait {
         let cmd = &held.command;
         let round = self.number("round", 5_000.0) as Micros;
         let left = cmd.client_timeout.saturating_sub(now + round);
-        let Some(kind) = self.kinds.get(cmd.command_group) else { return left };
-        let out = held.dispatches.iter().filter(|d| d.ended.is_none());
-        match out.map(|d| d.sent).max() {
-            None => HELD_POLL.min(left),
-            Some(sent) => {
-                let due = sent + self.patience(kind);
-                if due > now { due - now } else { (10 * HELD_POLL).min(left) }
-            }
+        let mut wait = Wait { micros: left, ..Wait::default() };
+        let Some(kind) = self.kinds.get(cmd.command_group) else { return wait };
+        let out = held.dispatches.iter().enumerate().filter(|(_, d)| d.ended.is_none());
+        let Some((last, sent)) = out.map(|(n, d)| (n, d.sent)).max() else {
+            wait.micros = HELD_POLL.min(left);
+            return wait;
+        };
+        let patience = self.patience(kind);
+        wait.micros = if now < sent + patience { sent + patience - now } else { patience.min(left) };
+        // Where no second copy may run beside it, a read at a member that fell silent is called off for another try.
+        let alone = !self.flag("limits.second_copies", false) && self.flag("limits.recalls", false);
+        let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
+        let again = held.dispatches.len() < READ_TRIES && self.may_copy(now);
+        let server = held.dispatches[last].server;
+        if alone && read && again && now >= sent + patience && !self.well(now, server) {
+            wait.recall.push(last);
         }
+        wait
     }
 
     fn due(&mut self, now: Micros) -> Wait {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -147,6 +147,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Wait {
     pub micros: Micros,
+    /// Dispatches of the command to call off now.
+    pub recall: Vec<usize>,
     /// Servers to probe now.
     pub probes: Vec<usize>,
     /// Ask for the server list, and for its changes from now on.
