Send long reads of any data to the replica furthest behind

Cause: a replica that holds a long read applies nothing meanwhile, so reports spread over all replicas pushed them past the bound of the short reads. Now they gather where data is old already. It should also help where apply is slow for any other cause; it may hurt where long reads alone outweigh one replica, which the crowding check is there to spread.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -67,6 +67,8 @@
 const WAIT_HALF_LIFE: Micros = 2 * SECOND;
 /// Part of the response target that a member's waiting may take before its zone is left for another.
 const CROWDED: f64 = 0.25;
+/// Part of the tightest bound that a read of any data must take to count as long.
+const LONG: f64 = 0.25;
 /// How fast the usual times of a command group follow new ones: over some fifty answers.
 const USUAL_WEIGHT: f64 = 0.02;
 
@@ -614,6 +616,14 @@
             return Some(server);
         }
         let primary = group.primary.filter(|s| usable(s) && self.has_room(now, *s, READ_ROOM));
+        // A long read may keep its replica from applying the log: it goes to the one furthest behind that has room.
+        if self.long(kind) {
+            let crowded = kind.response_target as f64 * CROWDED;
+            let spare =
+                |s: &usize| self.has_room(now, *s, 1.0) && self.waiting(now, &self.members[s]) < crowded;
+            let behind = fresh.iter().copied().filter(spare);
+            return behind.min_by_key(|s| (self.members[s].position, *s)).or(primary);
+        }
         let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, 1.0)).collect();
         if !roomy.is_empty() {
             return self.nearest(now, &roomy, kind);
@@ -632,6 +642,15 @@
         primary
     }
 
+    /// A read that takes any data but so much time that reads with a bound feel it.
+    fn long(&self, kind: &Kind) -> bool {
+        let bounds = self.kinds.iter().filter_map(|k| match k.need {
+            Need::Bounded(bound) => Some(bound as f64),
+            _ => None,
+        });
+        kind.need == Need::Any && kind.mean > bounds.fold(f64::INFINITY, f64::min) * LONG
+    }
+
     /// Own zone first, then wider; there the members near the lowest ping, one of them at random.
     fn nearest(&mut self, now: Micros, servers: &[usize], kind: &Kind) -> Option<usize> {
         let cost = |server: &usize| {
@@ -761,6 +780,7 @@
         outcome: &Outcome,
         bound: Option<Micros>,
     ) {
+        let long = self.kinds.get(k).is_some_and(|kind| self.long(kind));
         let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
         else {
             return;
@@ -778,10 +798,13 @@
                     if kind.mean_known { kind.mean + USUAL_WEIGHT * (took - kind.mean) } else { took };
                 kind.mean_known = true;
                 let waited = (took - kind.prompt).max(0.0);
-                let idle = now.saturating_sub(member.waiting_at) as f64;
-                let before = member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2();
-                member.waiting = before + WAIT_WEIGHT * (waited - before);
-                member.waiting_at = now;
+                // Long reads differ too much in their work to tell how long others wait.
+                if !long {
+                    let idle = now.saturating_sub(member.waiting_at) as f64;
+                    let before = member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2();
+                    member.waiting = before + WAIT_WEIGHT * (waited - before);
+                    member.waiting_at = now;
+                }
                 if waited > target * ROOM_WAIT {
                     member.shrink();
                 } else if member.out.len() as f64 >= member.room / 2.0 {
