--- a/src/balance.rs
+++ b/src/balance.rs
@@ -83,12 +83,14 @@
 // --- Room ---
 /// Commands out at a member to start with: some cores' worth.
 const ROOM_START: f64 = 6.0;
-/// Room never falls below this: one command must be able to prove a member well.
-const ROOM_LEAST: f64 = 2.0;
+/// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
+const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
-const ROOM_WAIT: f64 = 0.35;
-/// What one late answer takes off the room, as a part of one command: about a tenth off over a roomful.
-const ROOM_SHRINK: f64 = 0.3;
+const ROOM_WAIT: f64 = 0.42;
+/// What a late answer takes off the room, and what another adds while much of it is used, as parts of it: it
+/// settles where one answer in three is late.
+const ROOM_SHRINK: f64 = 0.1;
+const ROOM_GROW: f64 = 0.05;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
 const HELD_MOST: f64 = 0.4;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
@@ -133,6 +135,9 @@
     /// Sent time and command group of each dispatch that is out.
     out: Vec<(Micros, usize)>,
     room: f64,
+    /// When the last command was sent there, and the mean time of its kind.
+    sent: Micros,
+    usual: f64,
     /// Work sent: for its usual rate, and within the window of the cold rule.
     work: Decaying,
     recent_work: Vec<(Micros, f64)>,
@@ -140,7 +145,7 @@
 
 impl Member {
     fn shrink(&mut self) {
-        self.room = (self.room - ROOM_SHRINK).max(ROOM_LEAST);
+        self.room = (self.room * (1.0 - ROOM_SHRINK)).max(ROOM_LEAST);
     }
 }
 
@@ -508,6 +513,7 @@
         let window = self.number("rules.fall_for", 0.0) as Micros;
         if let Some(member) = self.members.get_mut(&server) {
             member.out.push((now, cmd.command_group));
+            (member.sent, member.usual) = (now, kind.mean);
             member.work.add(now, WORK_HALF_LIFE, kind.mean);
             member.recent_work.retain(|(at, _)| *at + window > now);
             member.recent_work.push((now, kind.mean));
@@ -714,7 +720,10 @@
 
     fn has_room(&self, now: Micros, server: usize, share: f64) -> bool {
         let member = &self.members[&server];
-        (member.out.len() as f64) < (member.room * share).max(1.0) && self.warm_enough(now, member)
+        let room = member.room * share;
+        let pause = (member.usual * (1.0 / room - 1.0).max(0.0)) as Micros;
+        let open = (member.out.len() as f64) < room.max(1.0) && now >= member.sent + pause;
+        open && self.warm_enough(now, member)
     }
 
     /// A cold member gets no more than this router's share of what the rule on cold servers allows. A member of its
@@ -808,7 +817,7 @@
                 if waited > target * ROOM_WAIT {
                     member.shrink();
                 } else if member.out.len() as f64 >= member.room / 2.0 {
-                    member.room += 1.0 / member.room;
+                    member.room *= 1.0 + ROOM_GROW;
                 }
                 member.answers.add(now, FAIL_HALF_LIFE, 1.0);
                 (member.answered_at, member.down) = (now, false);
