--- a/src/balance.rs
+++ b/src/balance.rs
@@ -86,7 +86,7 @@
 /// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
 const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
-const ROOM_WAIT: f64 = 0.42;
+const ROOM_WAIT: f64 = 0.35;
 /// What a late answer takes off the room, and what another adds while much of it is used, as parts of it: it
 /// settles where one answer in three is late.
 const ROOM_SHRINK: f64 = 0.1;
@@ -816,7 +816,7 @@
                 }
                 if waited > target * ROOM_WAIT {
                     member.shrink();
-                } else if member.out.len() as f64 >= member.room / 2.0 {
+                } else if member.out.len() as f64 + 1.0 >= member.room / 2.0 {
                     member.room *= 1.0 + ROOM_GROW;
                 }
                 member.answers.add(now, FAIL_HALF_LIFE, 1.0);
