Hold commands for a quarter of their response target at most

Cause: time held plus time queued plus the work itself came out just past the target, so much of what was held was answered late.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -86,13 +86,13 @@
 /// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
 const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
-const ROOM_WAIT: f64 = 0.35;
+const ROOM_WAIT: f64 = 0.3;
 /// What a late answer takes off the room, and what another adds while much of it is used, as parts of it: it
 /// settles where one answer in three is late.
 const ROOM_SHRINK: f64 = 0.1;
 const ROOM_GROW: f64 = 0.05;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
-const HELD_MOST: f64 = 0.4;
+const HELD_MOST: f64 = 0.25;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
 const READ_ROOM: f64 = 0.5;
 /// Between questions about a held command: a few rounds of the caller.
