--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,7 +30,7 @@
 /// Part of each new round trip in the average ping (the design's start).
 const PING_WEIGHT: f64 = 0.2;
 /// Between probes of one member while its group is in use (the design's start).
-const PROBE_EVERY: Micros = SECOND / 2;
+const PROBE_EVERY: Micros = SECOND;
 /// Members that a failed read tries (the source's figure).
 const READ_TRIES: usize = 3;
 /// Before a write is tried again on members that all missed: a fraction of the shortest election seen.
