Take a repeated position as standing still; add the tables of cases

Cause: a report with the position already known was passed over, so a replica that applied nothing was taken to keep up. Now each report renews how far behind it stands, and a replica that sent a read back is not asked for as much again until it reports progress.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -365,8 +365,12 @@
     /// Takes in what a server said of itself, known to hold at `as_of` where it does not tell.
     fn note(&mut self, now: Micros, server: usize, report: Report, as_of: Micros) {
         let Some(member) = self.members.get_mut(&server) else { return };
-        if let Some(position) = report.position.filter(|p| *p > member.position) {
-            (member.position, member.placed, member.short_of) = (position, now, None);
+        if let Some(position) = report.position {
+            // A replica that stands still tells the same position again: it is then known to fall behind.
+            if position > member.position {
+                (member.position, member.short_of) = (position, None);
+            }
+            member.placed = now;
         }
         let group = member.group;
         match report.primary {
@@ -688,14 +692,13 @@
             && (member.position == 0 || behind(member.position, member.placed) >= bound)
     }
 
-    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet.
+    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet, or it
+    /// sent back a read that needed no more and has not reported progress since.
     fn hopeless(&self, now: Micros, server: usize, bound: Micros) -> bool {
         let member = &self.members[&server];
         let gained = now.saturating_sub(member.placed) + REPORT_AGE;
         member.position > 0 && member.position + CATCH_UP * gained < bound
-            || member
-                .short_of
-                .is_some_and(|(at_most, at)| at_most + CATCH_UP * now.saturating_sub(at) < bound)
+            || member.short_of.is_some_and(|(at_most, at)| at_most + now.saturating_sub(at) <= bound)
     }
 
     // --- Wellness, crowding, room, warming ---
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,164 @@
+//! A store of one group, with the settings of six command groups, one for each need and effect.
+
+use tansyjunction::Router;
+use tansyjunction::interface::*;
+
+pub const GROUP: usize = 7;
+const MS: Micros = 1_000;
+
+pub fn conf(changed: &[(&str, Value)]) -> Named {
+    let mut named = Named::new();
+    let mut put = |name: &str, value: Value| named.insert(name.into(), value);
+    let number = |n: f64| Value::Number(n);
+    for (name, n) in [
+        ("command_groups", 6.0),
+        ("round", 5e3),
+        ("zone", 0.0),
+        ("limits.max_dispatches", 6.0),
+        ("rules.cold", 17e6),
+        ("rules.cold_from", 0.16),
+        ("rules.fall_multiple", 3.0),
+        ("rules.fall_for", 2e6),
+    ] {
+        put(name, number(n));
+    }
+    for name in ["limits.probes", "limits.recalls", "limits.second_copies"] {
+        put(name, Value::Flag(true));
+    }
+    put("guards", Value::Text("wait".into()));
+    put("session_marks", Value::Text("carried".into()));
+    let each = [
+        ("any", "replayable"),
+        ("bounded", "replayable"),
+        ("session", "replayable"),
+        ("fresh", "replayable"),
+        ("write", "mutating"),
+        ("write", "keyed"),
+    ];
+    for (k, (need, effect)) in each.into_iter().enumerate() {
+        let name = |part: &str| format!("command_group.{k}.{part}");
+        put(&name("need"), Value::Text(need.into()));
+        put(&name("effect"), Value::Text(effect.into()));
+        put(&name("scope"), Value::Text("group".into()));
+        for (part, n) in [
+            ("bound", 1e6),
+            ("response_target", 500e3),
+            ("client_timeout", 2e6),
+            ("repeat_within", 1e6),
+            ("late_benefit", 0.5),
+        ] {
+            put(&name(part), number(n));
+        }
+    }
+    for (name, value) in changed {
+        put(name, value.clone());
+    }
+    named
+}
+
+pub struct Store {
+    pub router: Router,
+    pub now: Micros,
+    entries: Vec<Listed>,
+}
+
+impl Store {
+    /// Primary 0 and replicas 1 and 2, all in the own zone, well and up to date.
+    pub fn calm(changed: &[(&str, Value)]) -> Self {
+        Store::behind(changed, &[0, 0, 0], 0)
+    }
+
+    /// The same with members that stand so far behind; replicas from `elsewhere` on and the primary, where there
+    /// are more than three, are in another zone.
+    pub fn behind(changed: &[(&str, Value)], behind: &[Micros], elsewhere: usize) -> Self {
+        let router = Router::new(conf(changed), 42).expect("settings make sense");
+        let mut store = Store { router, now: 100_000_000, entries: Vec::new() };
+        let zone = |server| usize::from(elsewhere > 0 && (server == 0 || server >= elsewhere));
+        let members: Vec<_> = (0..behind.len()).map(|server| (server, zone(server), server == 0)).collect();
+        store.list(&members);
+        for (server, behind) in behind.iter().enumerate() {
+            store.probe(server, MS, server == 0, *behind);
+        }
+        store
+    }
+
+    pub fn list(&mut self, members: &[(usize, usize, bool)]) {
+        let entry = |&(server, zone, primary)| Listed {
+            server,
+            group: GROUP,
+            zone,
+            size: 1.0,
+            standing: Standing::Serving,
+            primary,
+            started: None,
+        };
+        self.entries = members.iter().map(entry).collect();
+        self.router.listed(self.now, Some(&self.entries), true);
+    }
+
+    pub fn standing(&mut self, server: usize, standing: Standing) {
+        self.entries[server].standing = standing;
+        self.router.listed(self.now, Some(&self.entries[server..=server]), false);
+    }
+
+    pub fn restart(&mut self, server: usize) {
+        self.entries[server].started = Some(self.now);
+        self.router.listed(self.now, Some(&self.entries[server..=server]), false);
+    }
+
+    pub fn probe(&mut self, server: usize, ping: Micros, primary: bool, behind: Micros) {
+        let report =
+            Report { position: Some(self.now - behind), primary: Some(primary), ..Report::default() };
+        self.router.probed(self.now, server, ping, true, Some(report));
+    }
+
+    /// For five seconds this replica applies nothing while the others go on.
+    pub fn stands_still(&mut self, server: usize) {
+        self.now += 5_000 * MS;
+        for other in 0..self.entries.len() {
+            self.probe(other, MS, other == 0, if other == server { 5_000 * MS } else { 0 });
+        }
+    }
+
+    pub fn probe_fails(&mut self, server: usize) {
+        self.router.probed(self.now, server, 250 * MS, false, None);
+    }
+
+    /// A command of session 1 that has just arrived; the session wrote 900 ms ago.
+    pub fn command(&self, command_group: usize) -> Held {
+        let command = Command {
+            command_group,
+            group: GROUP,
+            session: Some(1),
+            arrived: self.now,
+            client_timeout: self.now + 2_000 * MS,
+            written_ago: Some(900 * MS),
+        };
+        Held { command, dispatches: Vec::new() }
+    }
+
+    pub fn place(&mut self, held: &Held) -> Place {
+        self.router.place(self.now, held)
+    }
+
+    /// The server that the command is sent to now.
+    pub fn sent(&mut self, held: &mut Held) -> usize {
+        match self.place(held) {
+            Place::Dispatch { server, .. } => {
+                held.dispatches.push(Dispatch { server, sent: self.now, ended: None });
+                server
+            }
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    /// The command's last dispatch ends so, after `took`.
+    pub fn end(&mut self, held: &mut Held, ending: Ending, took: Micros) {
+        self.now += took;
+        let dispatch = held.dispatches.len() - 1;
+        held.dispatches[dispatch].ended = Some(ending);
+        let over = ending == Ending::Answered;
+        let outcome = Outcome { dispatch, ending, took, over, stated: Report::default(), report: None };
+        self.router.after(self.now, held, &outcome);
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,363 @@
+//! Tables of cases for the router: the rules, the steps of the design, and each failure found.
+
+mod common;
+
+use common::{GROUP, Store, conf};
+use tansyjunction::Router;
+use tansyjunction::interface::*;
+
+const MS: Micros = 1_000;
+const ANY: usize = 0;
+const BOUNDED: usize = 1;
+const SESSION: usize = 2;
+const FRESH: usize = 3;
+const MUTATING: usize = 4;
+const KEYED: usize = 5;
+
+#[test]
+fn writes_and_fresh_reads_go_to_the_primary_and_reads_to_replicas() {
+    for (command_group, expected) in [
+        (ANY, &[1, 2][..]),
+        (BOUNDED, &[1, 2]),
+        (SESSION, &[1, 2]),
+        (FRESH, &[0]),
+        (MUTATING, &[0]),
+        (KEYED, &[0]),
+    ] {
+        let mut store = Store::calm(&[]);
+        for _ in 0..20 {
+            let mut held = store.command(command_group);
+            let server = store.sent(&mut held);
+            assert!(expected.contains(&server), "command group {command_group} went to {server}");
+            store.end(&mut held, Ending::Answered, 20 * MS);
+        }
+    }
+}
+
+#[test]
+fn own_zone_comes_first_and_is_left_only_when_nobody_there_qualifies() {
+    // Members 1 and 2 are in the own zone, 3 in another.
+    for (stale, expected) in [(&[][..], &[1, 2][..]), (&[1], &[2]), (&[1, 2], &[3])] {
+        let behind = [0, 1, 2, 3].map(|server| if stale.contains(&server) { 2_000 * MS } else { 0 });
+        let mut store = Store::behind(&[], &behind, 3);
+        for _ in 0..12 {
+            let mut held = store.command(BOUNDED);
+            let server = store.sent(&mut held);
+            assert!(expected.contains(&server), "stale {stale:?}: went to {server}");
+            store.end(&mut held, Ending::Answered, 20 * MS);
+        }
+    }
+}
+
+#[test]
+fn the_pick_is_random_inside_the_latency_window_and_never_outside() {
+    let mut store = Store::calm(&[]);
+    store.list(&[(0, 0, true), (1, 0, false), (2, 0, false), (3, 0, false)]);
+    for (server, ping) in [(0, 1), (1, 1), (2, 10), (3, 400)] {
+        store.probe(server, ping * MS, server == 0, 0);
+    }
+    let mut seen = [0; 4];
+    for _ in 0..60 {
+        let mut held = store.command(ANY);
+        seen[store.sent(&mut held)] += 1;
+        store.end(&mut held, Ending::Answered, 20 * MS);
+    }
+    assert!(seen[1] > 10 && seen[2] > 10 && seen[0] == 0 && seen[3] == 0, "{seen:?}");
+}
+
+#[test]
+fn sessions_stay_until_a_reason_to_let_go() {
+    // What happens between two reads of a session, and whether it must keep its member.
+    type Happening = fn(&mut Store, usize);
+    let reasons: [(&str, Happening, bool); 4] = [
+        ("nothing", |_, _| (), true),
+        ("the member stands still", |store, server| store.stands_still(server), false),
+        ("the member stops", |store, server| store.probe_fails(server), false),
+        ("the member drains", |store, server| store.standing(server, Standing::Draining), false),
+    ];
+    for (reason, happen, keeps) in reasons {
+        let mut store = Store::calm(&[]);
+        let mut first = store.command(SESSION);
+        let server = store.sent(&mut first);
+        store.end(&mut first, Ending::Answered, 20 * MS);
+        happen(&mut store, server);
+        for _ in 0..10 {
+            let mut held = store.command(SESSION);
+            assert_eq!(store.sent(&mut held) == server, keeps, "{reason}");
+            store.end(&mut held, Ending::Answered, 20 * MS);
+        }
+    }
+}
+
+#[test]
+fn without_a_fresh_replica_the_primary_reads_after_the_most_advanced_one() {
+    // What the members do with a read they are too far behind for, how far they stand behind, who gets it.
+    for (guards, behind, expected) in [
+        ("none", [1_500, 3_000], 0),
+        ("wait", [1_100, 3_000], 1),
+        ("wait", [3_000, 1_100], 2),
+        ("wait", [60_000; 2], 0),
+    ] {
+        let guards_named = ("guards", Value::Text(guards.into()));
+        let mut store = Store::behind(&[guards_named], &[0, behind[0] * MS, behind[1] * MS], 0);
+        let mut held = store.command(BOUNDED);
+        assert_eq!(store.sent(&mut held), expected, "{guards}, {behind:?}");
+        if guards == "wait" && expected != 0 {
+            store.end(&mut held, Ending::Missed, 20 * MS);
+            assert_eq!(store.sent(&mut held), 0, "after the miss");
+        }
+    }
+}
+
+#[test]
+fn a_miss_keeps_the_next_reads_away() {
+    // Guards against sending read after read to a replica that has just shown how far it stands behind.
+    let mut store = Store::behind(&[], &[0, 950 * MS, 950 * MS], 0);
+    store.now += 60 * MS;
+    for _ in 0..2 {
+        let mut held = store.command(BOUNDED);
+        assert_ne!(store.sent(&mut held), 0);
+        store.end(&mut held, Ending::Missed, 20 * MS);
+    }
+    let mut held = store.command(BOUNDED);
+    assert_eq!(store.sent(&mut held), 0);
+}
+
+#[test]
+fn long_reads_leave_the_fresh_replicas_alone() {
+    // Guards against reports on every replica, which keep all of them from applying the log.
+    let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
+    let mut first = store.command(ANY);
+    store.sent(&mut first);
+    store.end(&mut first, Ending::Answered, 400 * MS);
+    for _ in 0..6 {
+        let mut held = store.command(ANY);
+        assert_eq!(store.sent(&mut held), 2);
+        store.end(&mut held, Ending::Answered, 400 * MS);
+    }
+}
+
+#[test]
+fn the_newest_evidence_names_the_primary() {
+    let mut store = Store::calm(&[]);
+    let mut held = store.command(MUTATING);
+    assert_eq!(store.sent(&mut held), 0);
+    store.end(&mut held, Ending::Missed, MS);
+    // Others are tried in turn, each once, then the router waits for a round.
+    let mut tried = vec![store.sent(&mut held)];
+    store.end(&mut held, Ending::Missed, MS);
+    tried.push(store.sent(&mut held));
+    store.end(&mut held, Ending::Missed, MS);
+    tried.sort_unstable();
+    assert_eq!(tried, [1, 2]);
+    assert_eq!(store.place(&held), Place::NotYet);
+    store.probe(2, MS, true, 0);
+    assert_eq!(store.sent(&mut held), 2);
+}
+
+#[test]
+fn what_may_have_run_is_dispatched_or_throttled_only_where_that_is_harmless() {
+    let keyed = |scope: &str| vec![("command_group.5.scope", Value::Text(scope.into()))];
+    let throttled = Place::Never(Final::Throttled { come_back: 0 });
+    let failed = Place::Never(Final::Failed);
+    // Command group, settings, how the only dispatch ended, after how long, and the answer; None: another dispatch.
+    for (command_group, named, ending, after, expected) in [
+        (MUTATING, vec![], Ending::TimedOut, 100, Some(failed)),
+        (MUTATING, vec![], Ending::Reset, 100, Some(failed)),
+        (MUTATING, vec![], Ending::Errored, 100, Some(failed)),
+        (MUTATING, vec![], Ending::Recalled, 100, Some(failed)),
+        (MUTATING, vec![], Ending::SentBack, 100, None),
+        (MUTATING, vec![], Ending::SentBack, 1_995, Some(throttled)),
+        (KEYED, keyed("group"), Ending::Errored, 100, None),
+        (KEYED, keyed("group"), Ending::Errored, 1_500, Some(failed)),
+        (KEYED, keyed("all"), Ending::Errored, 1_500, Some(throttled)),
+        (ANY, vec![], Ending::Errored, 100, None),
+        (ANY, vec![], Ending::Errored, 1_995, Some(throttled)),
+    ] {
+        let mut store = Store::calm(&named);
+        let mut held = store.command(command_group);
+        store.sent(&mut held);
+        store.end(&mut held, ending, after * MS);
+        match expected {
+            Some(answer) => assert_eq!(store.place(&held), answer, "{command_group}, {ending:?}"),
+            None => {
+                assert!(matches!(store.place(&held), Place::Dispatch { .. }), "{command_group}, {ending:?}")
+            }
+        }
+    }
+}
+
+#[test]
+fn a_mutating_command_in_flight_is_left_alone() {
+    let mut store = Store::calm(&[]);
+    let mut held = store.command(MUTATING);
+    store.sent(&mut held);
+    for _ in 0..15 {
+        store.now += 100 * MS;
+        assert_eq!(store.place(&held), Place::NotYet);
+        assert!(store.router.wait(store.now, Some(&held)).recall.is_empty());
+    }
+}
+
+#[test]
+fn failed_reads_try_three_members_and_then_answer_at_once() {
+    let mut store = Store::calm(&[]);
+    store.list(&[(0, 0, true), (1, 0, false), (2, 0, false), (3, 0, false), (4, 0, false)]);
+    for server in 1..5 {
+        store.probe(server, MS, false, 0);
+    }
+    let mut held = store.command(ANY);
+    for _ in 0..3 {
+        store.sent(&mut held);
+        store.end(&mut held, Ending::Errored, MS);
+    }
+    assert_eq!(store.place(&held), Place::Never(Final::Throttled { come_back: 0 }));
+}
+
+#[test]
+fn nothing_goes_to_a_member_that_drains_or_is_gone() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let mut store = Store::calm(&[]);
+        store.standing(1, standing);
+        for _ in 0..10 {
+            let mut held = store.command(ANY);
+            assert_eq!(store.sent(&mut held), 2, "{standing:?}");
+            store.end(&mut held, Ending::Answered, MS);
+        }
+        for server in [0, 2] {
+            store.standing(server, standing);
+        }
+        for command_group in [ANY, BOUNDED, FRESH, MUTATING] {
+            let held = store.command(command_group);
+            assert_eq!(store.place(&held), Place::NotYet, "{standing:?}, {command_group}");
+        }
+    }
+}
+
+#[test]
+fn a_cold_member_gets_a_trickle_until_others_have_shown_what_is_usual() {
+    let mut store = Store::calm(&[]);
+    let mut sent = 0;
+    store.restart(0);
+    for _ in 0..40 {
+        let held = store.command(MUTATING);
+        if let Place::Dispatch { .. } = store.place(&held) {
+            sent += 1;
+        }
+        store.now += MS;
+    }
+    assert_eq!(sent, 1);
+    // Once warm, it takes what its room allows.
+    let mut store = Store::calm(&[]);
+    store.restart(0);
+    store.now += 20_000 * MS;
+    store.probe(0, MS, true, 0);
+    let taken = (0..4).filter(|_| {
+        let held = store.command(MUTATING);
+        matches!(store.place(&held), Place::Dispatch { .. })
+    });
+    assert_eq!(taken.count(), 4);
+}
+
+#[test]
+fn every_held_command_is_answered_before_its_client_timeout() {
+    for command_group in [ANY, BOUNDED, SESSION, FRESH, MUTATING, KEYED] {
+        let mut store = Store::calm(&[]);
+        for server in 0..3 {
+            store.probe_fails(server);
+        }
+        let held = store.command(command_group);
+        let end = loop {
+            match store.place(&held) {
+                Place::NotYet => store.now += store.router.wait(store.now, Some(&held)).micros.max(1),
+                Place::Never(_) => break store.now,
+                Place::Dispatch { server, .. } => panic!("sent to {server}, which is down"),
+            }
+        };
+        assert!(end < held.command.client_timeout, "command group {command_group}");
+    }
+}
+
+#[test]
+fn a_silent_member_is_left_and_its_reads_get_another_try() {
+    // Guards against a hung replica that still answers probes.
+    for copies in [true, false] {
+        let mut store = Store::calm(&[("limits.second_copies", Value::Flag(copies))]);
+        let mut held = store.command(ANY);
+        let server = store.sent(&mut held);
+        store.now += 301 * MS;
+        if copies {
+            assert_ne!(store.sent(&mut held), server);
+        } else {
+            assert_eq!(store.place(&held), Place::NotYet);
+            assert_eq!(store.router.wait(store.now, Some(&held)).recall, [0]);
+        }
+        let mut other = store.command(ANY);
+        assert_ne!(store.sent(&mut other), server);
+    }
+}
+
+#[test]
+fn room_that_shrank_grows_back_from_one_command() {
+    // Guards against throttling long after a slow spell: the last answered command counts as one that was out.
+    let mut store = Store::calm(&[]);
+    for (took, count) in [(900, 60), (20, 120)] {
+        for _ in 0..count {
+            let mut held = store.command(MUTATING);
+            while !matches!(store.place(&held), Place::Dispatch { .. }) {
+                store.now += 100 * MS;
+                held = store.command(MUTATING);
+            }
+            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.end(&mut held, Ending::Answered, took * MS);
+        }
+    }
+    let taken = (0..8).filter(|_| {
+        let held = store.command(MUTATING);
+        matches!(store.place(&held), Place::Dispatch { .. })
+    });
+    assert!(taken.count() >= 2);
+}
+
+#[test]
+fn same_questions_same_answers() {
+    let run = || {
+        let mut store = Store::calm(&[]);
+        let mut order = Vec::new();
+        for _ in 0..50 {
+            let mut held = store.command(ANY);
+            order.push(store.sent(&mut held));
+            store.end(&mut held, Ending::Answered, MS);
+        }
+        order
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn senseless_settings_are_named() {
+    for (name, value) in [
+        ("command_groups", 0.0),
+        ("command_group.1.bound", -1.0),
+        ("command_group.0.response_target", 0.0),
+        ("command_group.2.client_timeout", -5.0),
+        ("command_group.5.repeat_within", 0.0),
+    ] {
+        let error = Router::new(conf(&[(name, Value::Number(value))]), 1).err();
+        assert!(error.as_ref().is_some_and(|error| error.contains(name)), "{name}: {error:?}");
+    }
+}
+
+#[test]
+fn unknown_needs_and_effects_are_the_strictest() {
+    let mut store = Store::calm(&[
+        ("command_group.0.need", Value::Text("something new".into())),
+        ("command_group.0.effect", Value::Text("something new".into())),
+    ]);
+    let mut held = store.command(ANY);
+    assert_eq!(store.sent(&mut held), 0);
+    store.end(&mut held, Ending::TimedOut, 100 * MS);
+    assert_eq!(store.place(&held), Place::Never(Final::Failed));
+    let missing = Command { group: GROUP + 1, ..store.command(ANY).command };
+    assert_eq!(store.place(&Held { command: missing, dispatches: vec![] }), Place::NotYet);
+}
