--- a/src/balance.rs
+++ b/src/balance.rs
@@ -527,6 +527,10 @@
 
     fn patience(&self, kind: &Kind) -> Micros {
         let target = kind.response_target as f64;
+        // Long reads differ much, and a hasty copy of one holds up the log on another replica.
+        if self.long(kind) {
+            return (target * PATIENCE_MOST) as Micros;
+        }
         (kind.mean * PATIENCE).clamp(target * PATIENCE_LEAST, target * PATIENCE_MOST) as Micros
     }
 
