--- a/src/balance.rs
+++ b/src/balance.rs
@@ -135,8 +135,6 @@
     /// Sent time and command group of each dispatch that is out.
     out: Vec<(Micros, usize)>,
     room: f64,
-    /// How long its prompt answers take, in prompt times of the command group over all members.
-    pace: f64,
     /// When the last command was sent there, and the mean time of its kind.
     sent: Micros,
     usual: f64,
@@ -322,11 +320,10 @@
                 group.members.push(entry.server);
                 group.members.sort_unstable();
             }
-            let member = self.members.entry(entry.server).or_insert_with(|| Member {
-                room: ROOM_START,
-                pace: 1.0,
-                ..Member::default()
-            });
+            let member = self
+                .members
+                .entry(entry.server)
+                .or_insert_with(|| Member { room: ROOM_START, ..Member::default() });
             let advice_only = entry.standing == Standing::Gone;
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
@@ -820,13 +817,6 @@
                     if kind.mean_known { kind.mean + USUAL_WEIGHT * (took - kind.mean) } else { took };
                 kind.mean_known = true;
                 let waited = (took - kind.prompt).max(0.0);
-                // Guards against starving a slow member: its own pace is no sign of a queue.
-                let ratio = took / kind.prompt.max(1.0);
-                let weight = if ratio < member.pace { 5.0 * USUAL_WEIGHT } else { USUAL_WEIGHT };
-                if !long {
-                    member.pace += weight * (ratio - member.pace).clamp(-member.pace, member.pace);
-                }
-                let queued = took - kind.prompt * member.pace.max(1.0);
                 // Long reads differ too much in their work to tell how long others wait.
                 if !long {
                     let idle = now.saturating_sub(member.waiting_at) as f64;
@@ -834,7 +824,7 @@
                     member.waiting = before + WAIT_WEIGHT * (waited - before);
                     member.waiting_at = now;
                 }
-                if queued > target * ROOM_WAIT {
+                if waited > target * ROOM_WAIT {
                     member.shrink();
                 } else if member.out.len() as f64 + 1.0 >= member.room / 2.0 {
                     member.room *= 1.0 + ROOM_GROW;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -137,6 +137,22 @@
     }
 }
 
+#[test]
+fn the_most_advanced_replica_takes_no_long_reads() {
+    // Guards against long reads that spill over onto the last replica that can serve bounded ones.
+    let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
+    let mut first = store.command(ANY);
+    store.sent(&mut first);
+    store.end(&mut first, Ending::Answered, 400 * MS);
+    store.now += 10 * MS;
+    let mut taken = 0;
+    while let Place::Dispatch { server, .. } = store.router.place(store.now, &store.command(ANY)) {
+        assert_eq!(server, 2);
+        taken += 1;
+    }
+    assert!(taken > 1);
+}
+
 #[test]
 fn the_newest_evidence_names_the_primary() {
     let mut store = Store::calm(&[]);
