Hold long reads for room at a replica instead of sending them to the primary

Cause: found by the new table test, which failed in the commit before this one: with the replicas behind out of room, a long read went to the primary and took a core from its writes for a second.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -639,7 +639,8 @@
             let ahead = fresh.iter().copied().max_by_key(|s| (self.members[s].position, *s));
             let only = fresh.len() < 2;
             let behind = fresh.iter().copied().filter(|s| only || ahead != Some(*s)).filter(spare);
-            return behind.min_by_key(|s| (self.members[s].position, *s)).or(primary);
+            let behind = behind.min_by_key(|s| (self.members[s].position, *s));
+            return behind.or(primary.filter(|_| fresh.is_empty()));
         }
         let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, 1.0)).collect();
         if !roomy.is_empty() {
