Tell lost answers from a queue, and copy keyed writes that got none

A time-out no longer shrinks the room where later dispatches were answered, and a keyed write gets a copy at its primary after its patience. It should also hold against a link that drops one way; it hurts where primaries are slow.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -128,6 +128,8 @@
     probe_out: bool,
     down: bool,
     answered_at: Micros,
+    /// When the latest of the answered dispatches was sent.
+    proved: Micros,
     failures: Decaying,
     answers: Decaying,
     waiting: f64,
@@ -416,8 +418,9 @@
         if out > 0 {
             let late =
                 held.dispatches.iter().filter(|d| d.ended.is_none()).map(|d| d.sent).max().unwrap_or(now);
-            let copy = kind.effect == Effect::Replayable
-                && kind.need != Need::Write
+            // A keyed write gets its copy at the same primary, which drops the repeat.
+            let copy = (kind.effect == Effect::Keyed
+                || kind.effect == Effect::Replayable && kind.need != Need::Write)
                 && out == 1
                 && self.flag("limits.second_copies", false)
                 && now >= late + self.patience(&kind)
@@ -832,6 +835,7 @@
                 }
                 member.answers.add(now, FAIL_HALF_LIFE, 1.0);
                 (member.answered_at, member.down) = (now, false);
+                member.proved = member.proved.max(dispatch.sent);
             }
             Ending::Missed => {
                 (member.answered_at, member.down) = (now, false);
@@ -861,7 +865,10 @@
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
                 member.down = true;
             }
-            Ending::TimedOut | Ending::Recalled if outcome.took as f64 > target * ROOM_WAIT => {
+            // Guards against taking lost answers for a queue: where later ones were answered, room stays.
+            Ending::TimedOut | Ending::Recalled
+                if member.proved <= dispatch.sent && outcome.took as f64 > target * ROOM_WAIT =>
+            {
                 member.shrink()
             }
             Ending::TimedOut | Ending::Recalled | Ending::Unsent => {}
