--- a/src/balance.rs
+++ b/src/balance.rs
@@ -418,8 +418,12 @@
         if out > 0 {
             let late =
                 held.dispatches.iter().filter(|d| d.ended.is_none()).map(|d| d.sent).max().unwrap_or(now);
-            // A keyed write gets its copy at the same primary, which drops the repeat.
-            let copy = (kind.effect == Effect::Keyed
+            // A keyed write gets its copy at the same primary, which drops the repeat, but only once it seems lost:
+            // later dispatches were answered there, and more time has passed than a slow answer takes.
+            let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
+            let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
+                && held.dispatches.iter().any(proved);
+            let copy = (kind.effect == Effect::Keyed && lost
                 || kind.effect == Effect::Replayable && kind.need != Need::Write)
                 && out == 1
                 && self.flag("limits.second_copies", false)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -313,6 +313,43 @@
     }
 }
 
+#[test]
+fn a_lost_answer_costs_no_room_and_a_keyed_write_gets_a_copy() {
+    // Guards against a link that loses answers: every third command never returns, later ones are answered.
+    let mut store = Store::calm(&[]);
+    for _ in 0..20 {
+        let mut lost = store.command(KEYED);
+        store.sent(&mut lost);
+        store.now += MS;
+        for _ in 0..2 {
+            let mut held = store.command(ANY);
+            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.end(&mut held, Ending::Answered, 20 * MS);
+        }
+        assert_eq!(store.place(&lost), Place::NotYet, "too early for a copy");
+        store.now += 300 * MS;
+        assert_eq!(store.sent(&mut lost), 0);
+        store.end(&mut lost, Ending::TimedOut, 200 * MS);
+        lost.dispatches[0].ended = Some(Ending::TimedOut);
+        let first = Outcome {
+            dispatch: 0,
+            ending: Ending::TimedOut,
+            took: 600 * MS,
+            over: false,
+            stated: Report::default(),
+            report: None,
+        };
+        store.router.after(store.now, &lost, &first);
+        store.probe(0, MS, true, 0);
+        store.now += 5_000 * MS;
+    }
+    let taken = (0..8).filter(|_| {
+        let held = store.command(KEYED);
+        matches!(store.place(&held), Place::Dispatch { .. })
+    });
+    assert!(taken.count() >= 4);
+}
+
 #[test]
 fn room_that_shrank_grows_back_from_one_command() {
     // Guards against throttling long after a slow spell: the last answered command counts as one that was out.
