--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,6 +37,10 @@
 const ROUND_WAIT: Micros = 250 * MILLI;
 
 // --- Evidence ---
+/// Probes of a group as a part of its commands, and the longest time between two of one member: so that probes cost
+/// little, yet a stopped member is known before many sessions meet it.
+const PROBE_SHARE: f64 = 0.2;
+const PROBE_MOST: Micros = 4 * SECOND;
 /// How old a listed role may be: lists run seconds late, and fresher evidence must not lose to them.
 const LIST_LAG: Micros = 5 * SECOND;
 /// How old a report may be: its refresh and its way, a few tenths of a second.
@@ -46,7 +50,7 @@
 /// A group without commands for so long is no longer probed: several sessions' pauses.
 const GROUP_IDLE: Micros = 10 * SECOND;
 /// Between probes while a group lacks a well primary: a small part of an election.
-const SEARCH_EVERY: Micros = 150 * MILLI;
+const SEARCH_EVERY: Micros = 400 * MILLI;
 
 // --- Wellness ---
 /// Failures count half as much after this long: a few probes' time, so that a mended member soon returns.
@@ -159,6 +163,8 @@
     /// Rises with each change of primary; ties of an older age are void.
     age: u64,
     first_command: Option<Micros>,
+    /// Commands of late, for the probes' share of the work.
+    commands: Decaying,
     last_command: Micros,
 }
 
@@ -414,6 +420,9 @@
             group.first_command.get_or_insert(now);
             group.last_command = now;
         }
+        if let Some(group) = self.groups.get_mut(&cmd.group).filter(|_| now == cmd.arrived) {
+            group.commands.add(now, COPY_HALF_LIFE, 1.0);
+        }
         let out = held.dispatches.iter().filter(|d| d.ended.is_none()).count();
         if out > 0 {
             let late =
@@ -929,7 +938,11 @@
                 continue;
             }
             let lost = !group.primary.is_some_and(|server| self.well(now, server));
-            let every = if lost { SEARCH_EVERY } else { PROBE_EVERY };
+            // Guards against routers with little traffic that cost more in probes than in commands.
+            let commands =
+                group.commands.read(now, COPY_HALF_LIFE).max(0.1) * 2f64.ln() / COPY_HALF_LIFE as f64;
+            let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
+            let every = if lost { SEARCH_EVERY } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
             for server in &group.members {
                 let Some(member) = self.members.get_mut(server) else { continue };
                 if !member.serving || member.probe_out {
