Move small rooms faster and large ones by fixed steps

Cause: with thin traffic a shrunken room needed forty answers to grow back, while with much traffic the same proportion swings a large room within one roomful.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -93,8 +93,10 @@
 const ROOM_WAIT: f64 = 0.3;
 /// What a late answer takes off the room, and what another adds while much of it is used, as parts of it: it
 /// settles where one answer in three is late.
-const ROOM_SHRINK: f64 = 0.1;
-const ROOM_GROW: f64 = 0.05;
+const ROOM_SHRINK: f64 = 0.15;
+const ROOM_GROW: f64 = 0.075;
+/// Above so many commands the steps stay as they are: a roomful of answers must not swing it.
+const ROOM_SMALL: f64 = 4.0;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
 const HELD_MOST: f64 = 0.25;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
@@ -151,7 +153,7 @@
 
 impl Member {
     fn shrink(&mut self) {
-        self.room = (self.room * (1.0 - ROOM_SHRINK)).max(ROOM_LEAST);
+        self.room = (self.room - ROOM_SHRINK * self.room.min(ROOM_SMALL)).max(ROOM_LEAST);
     }
 }
 
@@ -844,7 +846,7 @@
                 if waited > target * ROOM_WAIT {
                     member.shrink();
                 } else if member.out.len() as f64 + 1.0 >= member.room / 2.0 {
-                    member.room *= 1.0 + ROOM_GROW;
+                    member.room += ROOM_GROW * member.room.min(ROOM_SMALL);
                 }
                 member.answers.add(now, FAIL_HALF_LIFE, 1.0);
                 (member.answered_at, member.down) = (now, false);
