--- a/src/balance.rs
+++ b/src/balance.rs
@@ -110,7 +110,7 @@
 /// Over which time a member's usual work is measured: longer than a restart takes to be forgotten.
 const WORK_HALF_LIFE: Micros = 20 * SECOND;
 /// Part of this router's share that is used: the rest covers chance and uneven gateways.
-const WARMING_SHARE: f64 = 0.5;
+const WARMING_SHARE: f64 = 0.6;
 
 /// One member of a group, as this router sees it.
 #[derive(Clone, Default)]
@@ -146,7 +146,7 @@
     /// When the last command was sent there, and the mean time of its kind.
     sent: Micros,
     usual: f64,
-    /// Work sent: for its usual rate, and within the window of the cold rule.
+    /// Work answered, for its usual rate, and sent within the window of the cold rule.
     work: Decaying,
     recent_work: Vec<(Micros, f64)>,
 }
@@ -536,7 +536,6 @@
         if let Some(member) = self.members.get_mut(&server) {
             member.out.push((now, cmd.command_group));
             (member.sent, member.usual) = (now, kind.mean);
-            member.work.add(now, WORK_HALF_LIFE, kind.mean);
             member.recent_work.retain(|(at, _)| *at + window > now);
             member.recent_work.push((now, kind.mean));
         }
@@ -755,8 +754,9 @@
         open && self.warm_enough(now, member)
     }
 
-    /// A cold member gets no more than this router's share of what the rule on cold servers allows. A member of its
-    /// size carries at least what this router sends the busiest one, summed over routers; a cold one a part of that.
+    /// A cold member gets no more than this router's share of what the rule on cold servers allows. What this router
+    /// has answered by an average member, summed over all routers, is what such a member carries at least; a busiest
+    /// member would not do, since each router may have another. A cold one carries a part of that.
     fn warm_enough(&self, now: Micros, member: &Member) -> bool {
         let cold = self.number("rules.cold", 0.0);
         let Some(started) = member.started else { return true };
@@ -767,13 +767,14 @@
         let from = self.number("rules.cold_from", 1.0);
         let part = from + (1.0 - from) * age / cold;
         let window = self.number("rules.fall_for", 0.0);
-        let usual =
-            |m: &Member| m.work.read(now, WORK_HALF_LIFE) / m.size / WORK_HALF_LIFE as f64 * 2f64.ln();
-        let rate = self.members.values().map(usual).fold(0.0, f64::max) * member.size;
+        let answered: f64 = self.members.values().map(|m| m.work.read(now, WORK_HALF_LIFE)).sum();
+        let size: f64 = self.members.values().map(|m| m.size).sum();
+        let rate = answered / WORK_HALF_LIFE as f64 * 2f64.ln() / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
         let sent =
             member.recent_work.iter().filter(|(at, _)| *at + window as Micros > now).map(|(_, work)| work);
-        member.out.is_empty() && member.recent_work.len() <= 1 || sent.sum::<f64>() < budget
+        let sent = sent.sum::<f64>();
+        member.out.is_empty() && sent == 0.0 || sent < budget
     }
 
     // --- What to do after an outcome ---
@@ -835,6 +836,7 @@
                 kind.mean =
                     if kind.mean_known { kind.mean + USUAL_WEIGHT * (took - kind.mean) } else { took };
                 kind.mean_known = true;
+                member.work.add(now, WORK_HALF_LIFE, kind.mean);
                 let waited = (took - kind.prompt).max(0.0);
                 // Long reads differ too much in their work to tell how long others wait.
                 if !long {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -275,6 +275,31 @@
     assert_eq!(taken.count(), 4);
 }
 
+#[test]
+fn work_that_was_not_answered_raises_no_cold_budget() {
+    // Guards against a budget taken from what was sent: turned away or lost work shows no capacity.
+    for (ending, most) in [(Ending::SentBack, 1), (Ending::Unconnected, 1), (Ending::Answered, 100)] {
+        let mut store = Store::calm(&[]);
+        for _ in 0..200 {
+            let mut held = store.command(MUTATING);
+            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.end(&mut held, ending, 50 * MS);
+        }
+        store.restart(0);
+        store.probe(0, MS, true, 0);
+        let mut taken = 0;
+        for _ in 0..100 {
+            let mut held = store.command(MUTATING);
+            if let Place::Dispatch { .. } = store.place(&held) {
+                held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+                store.end(&mut held, Ending::Answered, 10 * MS);
+                taken += 1;
+            }
+        }
+        assert!(taken <= most && (most == 1 || taken > 1), "{ending:?}: {taken}");
+    }
+}
+
 #[test]
 fn every_held_command_is_answered_before_its_client_timeout() {
     for command_group in [ANY, BOUNDED, SESSION, FRESH, MUTATING, KEYED] {
