--- a/src/balance.rs
+++ b/src/balance.rs
@@ -741,9 +741,12 @@
         member.serving && !member.down && !silent && !failing
     }
 
+    /// The average waiting, or what the commands that are out already wait beyond the usual, if that is more.
     fn waiting(&self, now: Micros, member: &Member) -> f64 {
         let idle = now.saturating_sub(member.waiting_at) as f64;
-        member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2()
+        let usual = |k: usize| if self.long(&self.kinds[k]) { f64::INFINITY } else { self.kinds[k].mean };
+        let out = member.out.iter().map(|(sent, k)| now.saturating_sub(*sent) as f64 - usual(*k));
+        out.fold(member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2(), f64::max)
     }
 
     fn has_room(&self, now: Micros, server: usize, share: f64) -> bool {
