Keep reads off a primary where writes found no room of late

Cause: reads without a fresh or roomy replica filled half of a primary's room while writes were held and throttled there; a write is worth six reads and has nowhere else to go. It should also help while a primary is slow or warming; it may hurt where hardly any replica is fresh and writes are few.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,6 +101,8 @@
 const HELD_MOST: f64 = 0.25;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
 const READ_ROOM: f64 = 0.5;
+/// After a write found no room at a primary, reads stay away for so long: some ten writes' time.
+const WANTED_FOR: Micros = SECOND;
 /// Between questions about a held command: a few rounds of the caller.
 const HELD_POLL: Micros = 10 * MILLI;
 /// The advice to a throttled client, as a part of the response target.
@@ -143,6 +145,8 @@
     /// Sent time and command group of each dispatch that is out.
     out: Vec<(Micros, usize)>,
     room: f64,
+    /// When a write or fresh read last found no room there.
+    wanted: Micros,
     /// When the last command was sent there, and the mean time of its kind.
     sent: Micros,
     usual: f64,
@@ -562,7 +566,11 @@
     fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
         let group = self.groups.get(&held.command.group)?;
         if let Some(primary) = group.primary.filter(|server| self.well(now, *server)) {
-            let open = self.has_room(now, primary, 1.0) && self.in_scope(held, kind, primary);
+            let room = self.has_room(now, primary, 1.0);
+            let open = room && self.in_scope(held, kind, primary);
+            if let Some(member) = self.members.get_mut(&primary).filter(|_| !room) {
+                member.wanted = now;
+            }
             return open.then_some(primary);
         }
         // A member that does not check would answer a fresh read from what it has.
@@ -646,7 +654,11 @@
         {
             return Some(server);
         }
-        let primary = group.primary.filter(|s| usable(s) && self.has_room(now, *s, READ_ROOM));
+        let primary = group.primary.filter(|s| {
+            // Guards against reads that crowd out writes: none where one had to wait for room of late.
+            let wanted = self.members[s].wanted;
+            usable(s) && self.has_room(now, *s, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
+        });
         // A long read may keep its replica from applying the log: it goes to the one furthest behind that has room.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -375,6 +375,34 @@
     assert!(taken.count() >= 4);
 }
 
+#[test]
+fn reads_stay_off_a_primary_where_a_write_found_no_room() {
+    // Guards against reads that crowd out writes, which have nowhere else to go.
+    for (writes, expected) in [(0, true), (20, false)] {
+        let mut store = Store::behind(&[], &[0, 60_000 * MS, 60_000 * MS], 0);
+        let mut out = Vec::new();
+        for _ in 0..writes {
+            let mut held = store.command(MUTATING);
+            if let Place::Dispatch { server, .. } = store.place(&held) {
+                held.dispatches.push(Dispatch { server, sent: store.now, ended: None });
+                out.push(held);
+            }
+        }
+        for mut held in out {
+            store.end(&mut held, Ending::Answered, MS);
+        }
+        let read = store.command(BOUNDED);
+        assert_eq!(
+            matches!(store.place(&read), Place::Dispatch { server: 0, .. }),
+            expected,
+            "{writes} writes"
+        );
+        store.now += 1_100 * MS;
+        let read = store.command(BOUNDED);
+        assert!(matches!(store.place(&read), Place::Dispatch { server: 0, .. }), "later");
+    }
+}
+
 #[test]
 fn room_that_shrank_grows_back_from_one_command() {
     // Guards against throttling long after a slow spell: the last answered command counts as one that was out.
