Let routers take turns at a cold server and count each command before it is sent

It should also hold with any number of routers; it hurts where a primary itself is cold and everything waits for it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -150,6 +150,8 @@
     /// When the last command was sent there, and the mean time of its kind.
     sent: Micros,
     usual: f64,
+    /// While it is cold: when this router's next turn comes to send it a command.
+    turn: Micros,
     /// Work answered, for its usual rate, and sent within the window of the cold rule.
     work: Decaying,
     recent_work: Vec<(Micros, f64)>,
@@ -328,7 +330,9 @@
                 member.serving &= entries.iter().any(|entry| entry.server == *server);
             }
         }
+        let shortest = self.kinds.iter().map(|kind| kind.mean).fold(f64::INFINITY, f64::min);
         for entry in entries {
+            let first_turn = self.chance.below(self.turns(shortest) as usize) as Micros;
             let group = self.groups.entry(entry.group).or_default();
             if !group.members.contains(&entry.server) {
                 group.members.push(entry.server);
@@ -342,6 +346,7 @@
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
                 member.started = entry.started;
+                member.turn = now + first_turn;
                 member.failures = Decaying::default();
             }
             member.serving = entry.standing == Standing::Serving;
@@ -536,12 +541,14 @@
             let age = self.groups.get(&cmd.group).map_or(0, |group| group.age);
             self.ties.insert(session, (server, cmd.command_group, age));
         }
+        let turns = self.turns(kind.mean);
         let window = self.number("rules.fall_for", 0.0) as Micros;
         if let Some(member) = self.members.get_mut(&server) {
             member.out.push((now, cmd.command_group));
             (member.sent, member.usual) = (now, kind.mean);
             member.recent_work.retain(|(at, _)| *at + window > now);
             member.recent_work.push((now, kind.mean));
+            member.turn = now + turns;
         }
         Place::Dispatch { server, timeout: left }
     }
@@ -566,7 +573,7 @@
     fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
         let group = self.groups.get(&held.command.group)?;
         if let Some(primary) = group.primary.filter(|server| self.well(now, *server)) {
-            let room = self.has_room(now, primary, 1.0);
+            let room = self.has_room(now, primary, kind, 1.0);
             let open = room && self.in_scope(held, kind, primary);
             if let Some(member) = self.members.get_mut(&primary).filter(|_| !room) {
                 member.wanted = now;
@@ -587,7 +594,7 @@
             group.primary != Some(*server)
                 && member.denied.is_none_or(|at| at + ROUND_WAIT <= now)
                 && self.well(now, *server)
-                && self.has_room(now, *server, 1.0)
+                && self.has_room(now, *server, kind, 1.0)
                 && self.in_scope(held, kind, *server)
         });
         let untried: Vec<usize> = untried.collect();
@@ -650,20 +657,21 @@
         if let Some((server, command_group, age)) = tie
             && (command_group, age) == (cmd.command_group, group.age)
             && fresh.contains(&server)
-            && self.has_room(now, server, 1.0)
+            && self.has_room(now, server, kind, 1.0)
         {
             return Some(server);
         }
         let primary = group.primary.filter(|s| {
             // Guards against reads that crowd out writes: none where one had to wait for room of late.
             let wanted = self.members[s].wanted;
-            usable(s) && self.has_room(now, *s, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
+            usable(s) && self.has_room(now, *s, kind, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
         });
         // A long read may keep its replica from applying the log: it goes to the one furthest behind that has room.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
-            let spare =
-                |s: &usize| self.has_room(now, *s, 1.0) && self.waiting(now, &self.members[s]) < crowded;
+            let spare = |s: &usize| {
+                self.has_room(now, *s, kind, 1.0) && self.waiting(now, &self.members[s]) < crowded
+            };
             // The most advanced one stays free for reads with a bound, where there is another.
             let ahead = fresh.iter().copied().max_by_key(|s| (self.members[s].position, *s));
             let only = fresh.len() < 2;
@@ -671,16 +679,15 @@
             let behind = behind.min_by_key(|s| (self.members[s].position, *s));
             return behind.or(primary.filter(|_| fresh.is_empty()));
         }
-        let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, 1.0)).collect();
+        let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, kind, 1.0)).collect();
         if !roomy.is_empty() {
             return self.nearest(now, &roomy, kind);
         }
         // No replica left: the primary; where servers check the bound themselves, the most advanced replica first.
         if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
-            let advanced = replicas
-                .iter()
-                .copied()
-                .filter(|s| self.has_room(now, *s, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b)));
+            let advanced = replicas.iter().copied().filter(|s| {
+                self.has_room(now, *s, kind, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b))
+            });
             let advanced = advanced.max_by_key(|s| (self.members[s].position, *s));
             if advanced.is_some() {
                 return advanced;
@@ -761,26 +768,22 @@
         out.fold(member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2(), f64::max)
     }
 
-    fn has_room(&self, now: Micros, server: usize, share: f64) -> bool {
+    fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
         let member = &self.members[&server];
         let room = member.room * share;
         let pause = (member.usual * (1.0 / room - 1.0).max(0.0)) as Micros;
         let open = (member.out.len() as f64) < room.max(1.0) && now >= member.sent + pause;
-        open && self.warm_enough(now, member)
+        open && self.warm_enough(now, member, kind.mean)
     }
 
     /// A cold member gets no more than this router's share of what the rule on cold servers allows. What this router
     /// has answered by an average member, summed over all routers, is what such a member carries at least; a busiest
     /// member would not do, since each router may have another. A cold one carries a part of that.
-    fn warm_enough(&self, now: Micros, member: &Member) -> bool {
-        let cold = self.number("rules.cold", 0.0);
-        let Some(started) = member.started else { return true };
-        let age = now.saturating_sub(started) as f64;
-        if age >= cold {
+    fn warm_enough(&self, now: Micros, member: &Member, work: f64) -> bool {
+        let part = self.cold_part(now, member);
+        if part >= 1.0 {
             return true;
         }
-        let from = self.number("rules.cold_from", 1.0);
-        let part = from + (1.0 - from) * age / cold;
         let window = self.number("rules.fall_for", 0.0);
         let answered: f64 = self.members.values().map(|m| m.work.read(now, WORK_HALF_LIFE)).sum();
         let size: f64 = self.members.values().map(|m| m.size).sum();
@@ -788,8 +791,22 @@
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
         let sent =
             member.recent_work.iter().filter(|(at, _)| *at + window as Micros > now).map(|(_, work)| work);
-        let sent = sent.sum::<f64>();
-        member.out.is_empty() && sent == 0.0 || sent < budget
+        // Without enough evidence, all routers in turn send it one command at a time.
+        sent.sum::<f64>() + work <= budget || member.out.is_empty() && now >= member.turn
+    }
+
+    fn cold_part(&self, now: Micros, member: &Member) -> f64 {
+        let (cold, from) = (self.number("rules.cold", 0.0), self.number("rules.cold_from", 1.0));
+        let age = member.started.map_or(cold, |started| now.saturating_sub(started) as f64);
+        if age >= cold { 1.0 } else { from + (1.0 - from) * age / cold }
+    }
+
+    /// Between commands of one router so that all together fill their share of one cold core's budget. Guards against
+    /// many routers that each think one command harmless, and against long reads on a server that just started.
+    fn turns(&self, work: f64) -> Micros {
+        let allowed =
+            self.number("rules.fall_multiple", 1.0) * self.number("rules.cold_from", 1.0) * WARMING_SHARE;
+        (self.number("routers", 1.0) * work / allowed.max(0.01)) as Micros
     }
 
     // --- What to do after an outcome ---
