--- a/src/balance.rs
+++ b/src/balance.rs
@@ -209,6 +209,16 @@
     mean_known: bool,
 }
 
+/// The dispatches that may have had an effect; one that is out counts.
+fn maybe_ran(held: &Held) -> impl Iterator<Item = &Dispatch> {
+    held.dispatches.iter().filter(|d| d.ended.is_none_or(|e| !e.never_ran()))
+}
+
+/// Dispatches that failed; a miss only told that the member does not qualify.
+fn failed(held: &Held) -> usize {
+    held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count()
+}
+
 /// One gateway's router.
 pub struct Router {
     named: Named,
@@ -430,21 +440,21 @@
         if let Some(group) = self.groups.get_mut(&cmd.group) {
             group.first_command.get_or_insert(now);
             group.last_command = now;
+            if now == cmd.arrived {
+                group.commands.add(now, COPY_HALF_LIFE, 1.0);
+            }
         }
-        if let Some(group) = self.groups.get_mut(&cmd.group).filter(|_| now == cmd.arrived) {
-            group.commands.add(now, COPY_HALF_LIFE, 1.0);
-        }
-        let out = held.dispatches.iter().filter(|d| d.ended.is_none()).count();
+        let out = held.dispatches.iter().filter(|d| d.ended.is_none());
+        let (out, late) = out.fold((0, 0), |(count, late), d| (count + 1, d.sent.max(late)));
         if out > 0 {
-            let late =
-                held.dispatches.iter().filter(|d| d.ended.is_none()).map(|d| d.sent).max().unwrap_or(now);
-            // A keyed write gets its copy at the same primary, which drops the repeat, but only once it seems lost:
-            // later dispatches were answered there, and more time has passed than a slow answer takes.
+            // What only the primary takes gets its copy there too, but only once it seems lost: later dispatches
+            // were answered, and more time has passed than a slow answer takes. A keyed write's repeat is dropped.
             let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
             let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
                 && held.dispatches.iter().any(proved);
-            let copy = (kind.effect == Effect::Keyed && lost
-                || kind.effect == Effect::Replayable && kind.need != Need::Write)
+            let elsewhere = !matches!(kind.need, Need::Write | Need::Fresh);
+            let copy = (elsewhere && kind.effect == Effect::Replayable
+                || lost && kind.effect != Effect::Mutating)
                 && out == 1
                 && self.flag("limits.second_copies", false)
                 && now >= late + self.patience(&kind)
@@ -456,10 +466,8 @@
         }
         // A final answer must be out before the client timeout, with a round of the caller to spare.
         let left = cmd.client_timeout.saturating_sub(now);
-        if left <= self.number("round", 5_000.0) as Micros {
-            return if out > 0 { Place::NotYet } else { self.give_up(held, &kind) };
-        }
-        if !self.may_dispatch(now, held, &kind) {
+        let ended = left <= self.number("round", 5_000.0) as Micros;
+        if ended || !self.may_dispatch(now, held, &kind) {
             return if out > 0 { Place::NotYet } else { self.give_up(held, &kind) };
         }
         let waited = now.saturating_sub(cmd.arrived);
@@ -471,9 +479,7 @@
             _ => self.read_target(now, held, &kind),
         };
         let Some(server) = server else {
-            let failed =
-                held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count();
-            let spent = kind.need != Need::Write && failed >= READ_TRIES;
+            let spent = kind.need != Need::Write && failed(held) >= READ_TRIES;
             let room_wanted = self.room_wanted(now, cmd.group, &kind);
             let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST && room_wanted;
             return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
@@ -495,8 +501,7 @@
         if held.dispatches.len() >= self.number("limits.max_dispatches", 1.0) as usize {
             return false;
         }
-        let mut maybe_ran = held.dispatches.iter().filter(|d| d.ended.is_none_or(|e| !e.never_ran()));
-        match (kind.effect, maybe_ran.next()) {
+        match (kind.effect, maybe_ran(held).next()) {
             (_, None) | (Effect::Replayable, _) => true,
             (Effect::Mutating, Some(_)) => false,
             // A dispatch leaves at once, so the window need only be open now.
@@ -506,13 +511,8 @@
 
     /// Having given up, the command is answered at once: throttled where a new try surely does no harm.
     fn give_up(&self, held: &Held, kind: &Kind) -> Place {
-        let maybe_ran = held.dispatches.iter().any(|d| d.ended.is_none_or(|e| !e.never_ran()));
-        let harmless = match kind.effect {
-            Effect::Replayable => true,
-            Effect::Keyed => !maybe_ran || kind.scope_all,
-            Effect::Mutating => !maybe_ran,
-        };
-        if !harmless {
+        let repeatable = kind.effect == Effect::Replayable || kind.effect == Effect::Keyed && kind.scope_all;
+        if !repeatable && maybe_ran(held).next().is_some() {
             return Place::Never(Final::Failed);
         }
         let advice = (kind.response_target as f64 * COME_BACK).min(self.number("limits.max_come_back", 0.0));
@@ -581,7 +581,7 @@
             return open.then_some(primary);
         }
         // A member that does not check would answer a fresh read from what it has.
-        if kind.need == Need::Fresh && !matches!(self.text("guards"), "wait" | "refuse") {
+        if kind.need == Need::Fresh && !self.guarded() {
             return None;
         }
         // The last dispatches are kept for a primary that shows up.
@@ -598,10 +598,7 @@
                 && self.in_scope(held, kind, *server)
         });
         let untried: Vec<usize> = untried.collect();
-        if untried.is_empty() {
-            return None;
-        }
-        Some(untried[self.chance.below(untried.len())])
+        untried.get(self.chance.below(untried.len())).copied()
     }
 
     /// A keyed command that may have run goes only where its repeat is dropped.
@@ -610,10 +607,12 @@
             return true;
         }
         let zone = |server| self.members.get(&server).map(|m| m.zone);
-        held.dispatches
-            .iter()
-            .filter(|d| d.ended.is_none_or(|e| !e.never_ran()))
-            .all(|d| zone(d.server) == zone(server))
+        maybe_ran(held).all(|d| zone(d.server) == zone(server))
+    }
+
+    /// True where servers check themselves whether they are fresh enough for a read.
+    fn guarded(&self) -> bool {
+        matches!(self.text("guards"), "wait" | "refuse")
     }
 
     /// The data a read needs, as a position; None: any will do.
@@ -634,16 +633,12 @@
         let waited = now.saturating_sub(cmd.arrived);
         // A new router waits for the first probe answers, up to the response target.
         let unheard = group.members.iter().all(|server| self.members[server].ping.is_none());
-        let probes = self.flag("limits.probes", false);
-        if probes && unheard && waited < kind.response_target {
-            return None;
-        }
-        let failed = held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count();
-        if failed >= READ_TRIES {
+        let expected = self.flag("limits.probes", false) && unheard && waited < kind.response_target;
+        if expected || failed(held) >= READ_TRIES {
             return None;
         }
         let tried = |server: usize| held.dispatches.iter().any(|d| d.server == server);
-        let guarded = matches!(self.text("guards"), "wait" | "refuse");
+        let guarded = self.guarded();
         let bound = self.bound(now, cmd, kind);
         let usable = |server: &usize| !tried(*server) && self.well(now, *server);
         let replicas: Vec<usize> =
