Start rooms at a share of what all routers together may send

It should help at any start or change with many routers; where most of them carry no traffic, the few that do start slower than they need.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -85,8 +85,10 @@
 const COPY_HALF_LIFE: Micros = 5 * SECOND;
 
 // --- Room ---
-/// Commands out at a member to start with: some cores' worth.
-const ROOM_START: f64 = 6.0;
+/// Commands out at a member to start with, for all routers together and for one at most: a few servers' cores and a
+/// short queue. Guards against many routers that all turn to a new primary at once.
+const ROOM_START: f64 = 20.0;
+const ROOM_START_MOST: f64 = 6.0;
 /// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
 const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
@@ -340,6 +342,7 @@
                 member.serving &= entries.iter().any(|entry| entry.server == *server);
             }
         }
+        let room = (ROOM_START / self.number("routers", 1.0)).clamp(1.0, ROOM_START_MOST);
         let shortest = self.kinds.iter().map(|kind| kind.mean).fold(f64::INFINITY, f64::min);
         for entry in entries {
             let first_turn = self.chance.below(self.turns(shortest) as usize) as Micros;
@@ -348,10 +351,8 @@
                 group.members.push(entry.server);
                 group.members.sort_unstable();
             }
-            let member = self
-                .members
-                .entry(entry.server)
-                .or_insert_with(|| Member { room: ROOM_START, ..Member::default() });
+            let member =
+                self.members.entry(entry.server).or_insert_with(|| Member { room, ..Member::default() });
             let advice_only = entry.standing == Standing::Gone;
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -339,6 +339,19 @@
     }
 }
 
+#[test]
+fn many_routers_start_with_little_room_each() {
+    // Guards against many routers that all turn to a new primary at once.
+    for (routers, expected) in [(1.0, 6), (5.0, 4), (40.0, 1)] {
+        let mut store = Store::calm(&[("routers", Value::Number(routers))]);
+        let taken = (0..10).filter(|_| {
+            let held = store.command(MUTATING);
+            matches!(store.place(&held), Place::Dispatch { .. })
+        });
+        assert_eq!(taken.count(), expected, "{routers} routers");
+    }
+}
+
 #[test]
 fn a_lost_answer_costs_no_room_and_a_keyed_write_gets_a_copy() {
     // Guards against a link that loses answers: every third command never returns, later ones are answered.
