--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,8 +71,9 @@
 const WAIT_HALF_LIFE: Micros = 2 * SECOND;
 /// Part of the response target that a member's waiting may take before its zone is left for another.
 const CROWDED: f64 = 0.25;
-/// Part of the tightest bound that a read of any data must take to count as long.
-const LONG: f64 = 0.25;
+/// A read of any data is long when it takes this many times as long as the shortest read with a bound: more than
+/// what differs by chance, and well under an order of magnitude.
+const LONG: f64 = 3.0;
 /// How fast the usual times of a command group follow new ones: over some fifty answers.
 const USUAL_WEIGHT: f64 = 0.02;
 
@@ -694,11 +695,8 @@
 
     /// A read that takes any data but so much time that reads with a bound feel it.
     fn long(&self, kind: &Kind) -> bool {
-        let bounds = self.kinds.iter().filter_map(|k| match k.need {
-            Need::Bounded(bound) => Some(bound as f64),
-            _ => None,
-        });
-        kind.need == Need::Any && kind.mean > bounds.fold(f64::INFINITY, f64::min) * LONG
+        let bounded = self.kinds.iter().filter(|k| matches!(k.need, Need::Bounded(_) | Need::Session));
+        kind.need == Need::Any && kind.mean > bounded.map(|k| k.mean).fold(f64::INFINITY, f64::min) * LONG
     }
 
     /// Own zone first, then wider; there the members near the lowest ping, one of them at random.
