--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,8 +9,10 @@
 //! The ordinary path is the design's (`docs/design.md`). Six mechanisms stand beside it:
 //!
 //! 1. Wellness: a member that is silent, refuses, or fails much of what it gets does not qualify.
-//! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less.
-//! 3. Copies: a read that outlasts its patience gets a second copy or another try, out of a small budget.
+//! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less; long reads
+//!    gather where data is old already, so that they don't crowd out the log elsewhere.
+//! 3. Copies: a read that outlasts its patience gets a second copy or another try, and so does what only the primary
+//!    takes and seems lost, out of a small budget.
 //! 4. Room: a member gets as many commands at once as it answers in time; the rest is held, then throttled.
 //! 5. Warming: a cold member gets this router's share of a budget that its size can bear.
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
