--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,16 +3,16 @@
 //! The module is asked, as a client library is, through three calls: [`Router::place`] (where to send this
 //! command: dispatch, not yet, never), [`Router::after`] (what to do after this outcome) and [`Router::wait`]
 //! (how long until the next question, and which probes are due). Notices return nothing: [`Router::listed`],
-//! [`Router::probed`], [`Router::told`] and [`Router::client_gone`]. The types are in `interface.rs`. The caller
-//! keeps the timers and the commands with their dispatch history and decides nothing.
+//! [`Router::probed`], [`Router::told`] and [`Router::client_gone`]. The types are in `interface.rs`. The
+//! caller keeps the timers and the commands with their dispatch history and decides nothing.
 //!
 //! The ordinary path is the design's (`docs/design.md`). Six mechanisms stand beside it:
 //!
 //! 1. Wellness: a member that is silent, refuses, or fails much of what it gets does not qualify.
-//! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less; long reads
-//!    gather where data is old already, so that they don't crowd out the log elsewhere.
-//! 3. Copies: a read that outlasts its patience gets a second copy or another try, and so does what only the primary
-//!    takes and seems lost, out of a small budget.
+//! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less;
+//!    long reads gather where data is old already, so that they don't crowd out the log elsewhere.
+//! 3. Copies: a read that outlasts its patience gets a second copy or another try, and so does what only the
+//!    primary takes and seems lost, out of a small budget.
 //! 4. Room: a member gets as many commands at once as it answers in time; the rest is held, then throttled.
 //! 5. Warming: a cold member gets this router's share of a budget that its size can bear.
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
@@ -39,8 +39,8 @@
 const ROUND_WAIT: Micros = 250 * MILLI;
 
 // --- Evidence ---
-/// Probes of a group as a part of its commands, and the longest time between two of one member: so that probes cost
-/// little, yet a stopped member is known before many sessions meet it.
+/// Probes of a group as a part of its commands, and the longest time between two of one member: so that
+/// probes cost little, yet a stopped member is known before many sessions meet it.
 const PROBE_SHARE: f64 = 0.2;
 const PROBE_MOST: Micros = 4 * SECOND;
 /// How old a listed role may be: lists run seconds late, and fresher evidence must not lose to them.
@@ -59,7 +59,8 @@
 const FAIL_HALF_LIFE: Micros = 3 * SECOND;
 /// Share of failures above which a member does not qualify: more often wrong than right.
 const FAIL_SHARE: f64 = 0.5;
-/// Silence and patience: this many times the mean time of the command's kind; few healthy answers take longer.
+/// Silence and patience: this many times the mean time of the command's kind; few healthy answers take
+/// longer.
 const PATIENCE: f64 = 3.0;
 /// Patience is at least this part of the response target (tries are cheap to wait for below it)...
 const PATIENCE_LEAST: f64 = 0.25;
@@ -73,8 +74,8 @@
 const WAIT_HALF_LIFE: Micros = 2 * SECOND;
 /// Part of the response target that a member's waiting may take before its zone is left for another.
 const CROWDED: f64 = 0.25;
-/// A read of any data is long when it takes this many times as long as the shortest read with a bound: more than
-/// what differs by chance, and well under an order of magnitude.
+/// A read of any data is long when it takes this many times as long as the shortest read with a bound: more
+/// than what differs by chance, and well under an order of magnitude.
 const LONG: f64 = 3.0;
 /// How fast the usual times of a command group follow new ones: over some fifty answers.
 const USUAL_WEIGHT: f64 = 0.02;
@@ -88,8 +89,8 @@
 const COPY_HALF_LIFE: Micros = 5 * SECOND;
 
 // --- Room ---
-/// Commands out at a member to start with, for all routers together and for one at most: a few servers' cores and a
-/// short queue. Guards against many routers that all turn to a new primary at once.
+/// Commands out at a member to start with, for all routers together and for one at most: a few servers'
+/// cores and a short queue. Guards against many routers that all turn to a new primary at once.
 const ROOM_START: f64 = 20.0;
 const ROOM_START_MOST: f64 = 6.0;
 /// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
@@ -451,8 +452,9 @@
         let out = held.dispatches.iter().filter(|d| d.ended.is_none());
         let (out, late) = out.fold((0, 0), |(count, late), d| (count + 1, d.sent.max(late)));
         if out > 0 {
-            // What only the primary takes gets its copy there too, but only once it seems lost: later dispatches
-            // were answered, and more time has passed than a slow answer takes. A keyed write's repeat is dropped.
+            // What only the primary takes gets its copy there too, but only once it seems lost: later
+            // dispatches were answered, and more time has passed than a slow answer takes. A keyed write's
+            // repeat is dropped.
             let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
             let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
                 && held.dispatches.iter().any(proved);
@@ -665,7 +667,8 @@
             let wanted = self.members[s].wanted;
             usable(s) && self.has_room(now, *s, kind, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
         });
-        // A long read may keep its replica from applying the log: it goes to the one furthest behind that has room.
+        // A long read may keep its replica from applying the log: it goes to the one furthest behind that
+        // has room.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
             let spare = |s: &usize| {
@@ -682,7 +685,8 @@
         if !roomy.is_empty() {
             return self.nearest(now, &roomy, kind);
         }
-        // No replica left: the primary; where servers check the bound themselves, the most advanced replica first.
+        // No replica left: the primary; where servers check the bound themselves, the most advanced replica
+        // first.
         if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
             let advanced = replicas.iter().copied().filter(|s| {
                 self.has_room(now, *s, kind, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b))
@@ -732,8 +736,8 @@
             && (member.position == 0 || behind(member.position, member.placed) >= bound)
     }
 
-    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet, or it
-    /// sent back a read that needed no more and has not reported progress since.
+    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet,
+    /// or it sent back a read that needed no more and has not reported progress since.
     fn hopeless(&self, now: Micros, server: usize, bound: Micros) -> bool {
         let member = &self.members[&server];
         let gained = now.saturating_sub(member.placed) + REPORT_AGE;
@@ -772,9 +776,10 @@
         open && self.warm_enough(now, member, kind.mean)
     }
 
-    /// A cold member gets no more than this router's share of what the rule on cold servers allows. What this router
-    /// has answered by an average member, summed over all routers, is what such a member carries at least; a busiest
-    /// member would not do, since each router may have another. A cold one carries a part of that.
+    /// A cold member gets no more than this router's share of what the rule on cold servers allows. What
+    /// this router has answered by an average member, summed over all routers, is what such a member carries
+    /// at least; a busiest member would not do, since each router may have another. A cold one carries a
+    /// part of that.
     fn warm_enough(&self, now: Micros, member: &Member, work: f64) -> bool {
         let part = self.cold_part(now, member);
         if part >= 1.0 {
@@ -797,8 +802,9 @@
         if age >= cold { 1.0 } else { from + (1.0 - from) * age / cold }
     }
 
-    /// Between commands of one router so that all together fill their share of one cold core's budget. Guards against
-    /// many routers that each think one command harmless, and against long reads on a server that just started.
+    /// Between commands of one router so that all together fill their share of one cold core's budget.
+    /// Guards against many routers that each think one command harmless, and against long reads on a server
+    /// that just started.
     fn turns(&self, work: f64) -> Micros {
         let allowed =
             self.number("rules.fall_multiple", 1.0) * self.number("rules.cold_from", 1.0) * WARMING_SHARE;
@@ -922,7 +928,8 @@
 
     // --- How long to wait ---
 
-    /// With a command: until `place` is to be asked about it again. Without: until the next call, with what is due.
+    /// With a command: until `place` is to be asked about it again. Without: until the next call, with what
+    /// is due.
     pub fn wait(&mut self, now: Micros, held: Option<&Held>) -> Wait {
         match held {
             Some(held) => self.held_wait(now, held),
@@ -943,7 +950,8 @@
         };
         let patience = self.patience(kind);
         wait.micros = if now < sent + patience { sent + patience - now } else { patience.min(left) };
-        // Where no second copy may run beside it, a read at a member that fell silent is called off for another try.
+        // Where no second copy may run beside it, a read at a member that fell silent is called off for
+        // another try.
         let alone = !self.flag("limits.second_copies", false) && self.flag("limits.recalls", false);
         let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
         let again = held.dispatches.len() < READ_TRIES && self.may_copy(now);
