--- a/crates/wirehost/src/named.rs
+++ b/crates/wirehost/src/named.rs
@@ -3,7 +3,7 @@
 use serde_json::Value as Json;
 use tansyjunction::interface::{Named, Value};
 
-/// Settings that are taken over: where they stand on the wire, their name here, and what a number is divided by.
+/// Settings that are taken over: where they stand on the wire, their name here, what a number is divided by.
 const TAKEN: [(&str, &str, f64); 20] = [
     ("balancers", "routers", 1.0),
     ("me", "router", 1.0),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,8 +59,7 @@
 const FAIL_HALF_LIFE: Micros = 3 * SECOND;
 /// Share of failures above which a member does not qualify: more often wrong than right.
 const FAIL_SHARE: f64 = 0.5;
-/// Silence and patience: this many times the mean time of the command's kind; few healthy answers take
-/// longer.
+/// Silence and patience: this many times the mean time of the command's kind; few good answers exceed it.
 const PATIENCE: f64 = 3.0;
 /// Patience is at least this part of the response target (tries are cheap to wait for below it)...
 const PATIENCE_LEAST: f64 = 0.25;
@@ -453,8 +452,7 @@
         let (out, late) = out.fold((0, 0), |(count, late), d| (count + 1, d.sent.max(late)));
         if out > 0 {
             // What only the primary takes gets its copy there too, but only once it seems lost: later
-            // dispatches were answered, and more time has passed than a slow answer takes. A keyed write's
-            // repeat is dropped.
+            // dispatches were answered, and more time has passed than a slow answer takes.
             let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
             let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
                 && held.dispatches.iter().any(proved);
@@ -667,8 +665,7 @@
             let wanted = self.members[s].wanted;
             usable(s) && self.has_room(now, *s, kind, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
         });
-        // A long read may keep its replica from applying the log: it goes to the one furthest behind that
-        // has room.
+        // A long read may keep its replica from applying the log: it goes to the one furthest behind with room.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
             let spare = |s: &usize| {
@@ -685,8 +682,7 @@
         if !roomy.is_empty() {
             return self.nearest(now, &roomy, kind);
         }
-        // No replica left: the primary; where servers check the bound themselves, the most advanced replica
-        // first.
+        // No replica left: the primary; where servers check the bound, the most advanced replica first.
         if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
             let advanced = replicas.iter().copied().filter(|s| {
                 self.has_room(now, *s, kind, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b))
@@ -778,8 +774,7 @@
 
     /// A cold member gets no more than this router's share of what the rule on cold servers allows. What
     /// this router has answered by an average member, summed over all routers, is what such a member carries
-    /// at least; a busiest member would not do, since each router may have another. A cold one carries a
-    /// part of that.
+    /// at least; a busiest member would not do, since each router may have another.
     fn warm_enough(&self, now: Micros, member: &Member, work: f64) -> bool {
         let part = self.cold_part(now, member);
         if part >= 1.0 {
@@ -928,8 +923,7 @@
 
     // --- How long to wait ---
 
-    /// With a command: until `place` is to be asked about it again. Without: until the next call, with what
-    /// is due.
+    /// With a command: until `place` is to be asked about it again. Without: until the next call.
     pub fn wait(&mut self, now: Micros, held: Option<&Held>) -> Wait {
         match held {
             Some(held) => self.held_wait(now, held),
@@ -950,8 +944,7 @@
         };
         let patience = self.patience(kind);
         wait.micros = if now < sent + patience { sent + patience - now } else { patience.min(left) };
-        // Where no second copy may run beside it, a read at a member that fell silent is called off for
-        // another try.
+        // Where no second copy may run, a read at a member that fell silent is called off for another try.
         let alone = !self.flag("limits.second_copies", false) && self.flag("limits.recalls", false);
         let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
         let again = held.dispatches.len() < READ_TRIES && self.may_copy(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,7 +86,8 @@
     pub took: Micros,
     /// True once the command has its final answer.
     pub over: bool,
-    /// What the answer itself states, exact as of now. For a write that went through, `position` is its commit.
+    /// What the answer itself states, exact as of now. For a write that went through, `position` is its
+    /// commit.
     pub stated: Report,
     /// A load report that came along, some time old.
     pub report: Option<Report>,
