--- a/src/balance.rs
+++ b/src/balance.rs
@@ -665,7 +665,7 @@
             let wanted = self.members[s].wanted;
             usable(s) && self.has_room(now, *s, kind, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
         });
-        // A long read may keep its replica from applying the log: it goes to the one furthest behind with room.
+        // A long read may keep its replica from applying the log: the one furthest behind with room gets it.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
             let spare = |s: &usize| {
