Merge what stood twice and drop what nothing reached

The zone check of keyed commands was dead behind the guard that refuses them; a group's first command, the copy flag of a send and the role after a missed write were kept apart from what already told them. One average of waiting, one rate of a decaying sum, one test of a replica that fell short. The adapter builds an outcome once; the tests share the counting of what is sent.

--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -108,23 +108,17 @@
             "miss" => Ending::Missed,
             other => return Err(format!("'reason' {other} is not known")),
         };
-        let over = flag(event, "complete");
-        let outcome = Outcome {
-            dispatch,
-            ending,
-            took: time(event, "duration")?,
-            over,
-            stated: self.stated(event["stand"].as_u64().unwrap_or(0)),
-            report: self.report(&event["health_info"]),
-        };
+        let stated = self.stated(event["stand"].as_u64().unwrap_or(0));
+        let report = self.report(&event["health_info"]);
+        let took = time(event, "duration")?;
         let Some(entry) = self.commands.get_mut(&corr) else { return Ok(()) };
         let Some(sent) = entry.held.dispatches.get_mut(dispatch) else {
             return Err(format!("'go' {dispatch} was never sent for command {corr}"));
         };
         sent.ended = Some(ending);
-        entry.over |= over;
-        let after = self.router.after(now, &entry.held, &Outcome { over: entry.over, ..outcome });
-        match after {
+        entry.over |= flag(event, "complete");
+        let outcome = Outcome { dispatch, ending, took, over: entry.over, stated, report };
+        match self.router.after(now, &entry.held, &outcome) {
             After::Ask => self.ask(now, corr, orders),
             After::Over { recall } => {
                 for go in recall {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -151,7 +151,7 @@
     out: Vec<(Micros, usize)>,
     room: f64,
     /// When a write or fresh read last found no room there.
-    wanted: Micros,
+    wanted: Option<Micros>,
     /// When the last command was sent there, and the mean time of its kind.
     sent: Micros,
     usual: f64,
@@ -166,6 +166,16 @@
     fn shrink(&mut self) {
         self.room = (self.room - ROOM_SHRINK * self.room.min(ROOM_SMALL)).max(ROOM_LEAST);
     }
+
+    fn average_waiting(&self, now: Micros) -> f64 {
+        let idle = now.saturating_sub(self.waiting_at) as f64;
+        self.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2()
+    }
+
+    /// It sent back a read that needed no more than `bound` and has not reported progress since.
+    fn fell_short(&self, now: Micros, bound: Micros) -> bool {
+        self.short_of.is_some_and(|(at_most, at)| at_most + now.saturating_sub(at) <= bound)
+    }
 }
 
 /// A group of one primary and its replicas.
@@ -175,10 +185,9 @@
     primary: Option<usize>,
     /// Rises with each change of primary; ties of an older age are void.
     age: u64,
-    first_command: Option<Micros>,
     /// Commands of late, for the probes' share of the work.
     commands: Decaying,
-    last_command: Micros,
+    last_command: Option<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -442,8 +451,7 @@
             return Place::Never(Final::Failed);
         };
         if let Some(group) = self.groups.get_mut(&cmd.group) {
-            group.first_command.get_or_insert(now);
-            group.last_command = now;
+            group.last_command = Some(now);
             if now == cmd.arrived {
                 group.commands.add(now, COPY_HALF_LIFE, 1.0);
             }
@@ -488,7 +496,7 @@
             let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST && room_wanted;
             return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
         };
-        self.send(now, held, &kind, server, left, out > 0)
+        self.send(now, held, &kind, server, left)
     }
 
     /// True where the group's well primary, or for reads any member, is there and only room is missing.
@@ -508,7 +516,8 @@
         match (kind.effect, maybe_ran(held).next()) {
             (_, None) | (Effect::Replayable, _) => true,
             (Effect::Mutating, Some(_)) => false,
-            // A dispatch leaves at once, so the window need only be open now.
+            // A dispatch leaves at once, so the window need only be open now. The group drops the repeat;
+            // where that holds for one zone alone, none is sent.
             (Effect::Keyed, Some(first)) => now < first.sent + kind.repeat_within && !kind.scope_zone,
         }
     }
@@ -524,19 +533,11 @@
         Place::Never(Final::Throttled { come_back })
     }
 
-    fn send(
-        &mut self,
-        now: Micros,
-        held: &Held,
-        kind: &Kind,
-        server: usize,
-        left: Micros,
-        copy: bool,
-    ) -> Place {
+    fn send(&mut self, now: Micros, held: &Held, kind: &Kind, server: usize, left: Micros) -> Place {
         let cmd = &held.command;
         if held.dispatches.is_empty() {
             self.firsts.add(now, COPY_HALF_LIFE, 1.0);
-        } else if copy || held.dispatches.iter().any(|d| d.ended == Some(Ending::Recalled)) {
+        } else if held.dispatches.iter().any(|d| matches!(d.ended, None | Some(Ending::Recalled))) {
             self.copies.add(now, COPY_HALF_LIFE, 1.0);
         }
         if kind.need == Need::Session
@@ -578,11 +579,10 @@
         let group = self.groups.get(&held.command.group)?;
         if let Some(primary) = group.primary.filter(|server| self.well(now, *server)) {
             let room = self.has_room(now, primary, kind, 1.0);
-            let open = room && self.in_scope(held, kind, primary);
             if let Some(member) = self.members.get_mut(&primary).filter(|_| !room) {
-                member.wanted = now;
+                member.wanted = Some(now);
             }
-            return open.then_some(primary);
+            return room.then_some(primary);
         }
         // A member that does not check would answer a fresh read from what it has.
         if kind.need == Need::Fresh && !self.guarded() {
@@ -599,21 +599,11 @@
                 && member.denied.is_none_or(|at| at + ROUND_WAIT <= now)
                 && self.well(now, *server)
                 && self.has_room(now, *server, kind, 1.0)
-                && self.in_scope(held, kind, *server)
         });
         let untried: Vec<usize> = untried.collect();
         untried.get(self.chance.below(untried.len())).copied()
     }
 
-    /// A keyed command that may have run goes only where its repeat is dropped.
-    fn in_scope(&self, held: &Held, kind: &Kind, server: usize) -> bool {
-        if kind.effect != Effect::Keyed || !kind.scope_zone {
-            return true;
-        }
-        let zone = |server| self.members.get(&server).map(|m| m.zone);
-        maybe_ran(held).all(|d| zone(d.server) == zone(server))
-    }
-
     /// True where servers check themselves whether they are fresh enough for a read.
     fn guarded(&self) -> bool {
         matches!(self.text("guards"), "wait" | "refuse")
@@ -662,8 +652,8 @@
         }
         let primary = group.primary.filter(|s| {
             // Guards against reads that crowd out writes: none where one had to wait for room of late.
-            let wanted = self.members[s].wanted;
-            usable(s) && self.has_room(now, *s, kind, READ_ROOM) && (wanted == 0 || now > wanted + WANTED_FOR)
+            let wanted = self.members[s].wanted.is_some_and(|at| now <= at + WANTED_FOR);
+            usable(s) && self.has_room(now, *s, kind, READ_ROOM) && !wanted
         });
         // A long read may keep its replica from applying the log: the one furthest behind with room gets it.
         if self.long(kind) {
@@ -727,9 +717,8 @@
             return member.position >= bound;
         }
         // Between reports it is taken to stand as far behind as it did; after a miss, no nearer than that.
-        let behind = |position: Micros, at: Micros| position + now.saturating_sub(at);
-        member.short_of.is_none_or(|(at_most, at)| behind(at_most, at) > bound)
-            && (member.position == 0 || behind(member.position, member.placed) >= bound)
+        let likely = member.position + now.saturating_sub(member.placed);
+        !member.fell_short(now, bound) && (member.position == 0 || likely >= bound)
     }
 
     /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet,
@@ -737,8 +726,7 @@
     fn hopeless(&self, now: Micros, server: usize, bound: Micros) -> bool {
         let member = &self.members[&server];
         let gained = now.saturating_sub(member.placed) + REPORT_AGE;
-        member.position > 0 && member.position + CATCH_UP * gained < bound
-            || member.short_of.is_some_and(|(at_most, at)| at_most + now.saturating_sub(at) <= bound)
+        member.position > 0 && member.position + CATCH_UP * gained < bound || member.fell_short(now, bound)
     }
 
     // --- Wellness, crowding, room, warming ---
@@ -758,10 +746,9 @@
 
     /// The average waiting, or what the commands that are out already wait beyond the usual, if that is more.
     fn waiting(&self, now: Micros, member: &Member) -> f64 {
-        let idle = now.saturating_sub(member.waiting_at) as f64;
         let usual = |k: usize| if self.long(&self.kinds[k]) { f64::INFINITY } else { self.kinds[k].mean };
         let out = member.out.iter().map(|(sent, k)| now.saturating_sub(*sent) as f64 - usual(*k));
-        out.fold(member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2(), f64::max)
+        out.fold(member.average_waiting(now), f64::max)
     }
 
     fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
@@ -781,9 +768,9 @@
             return true;
         }
         let window = self.number("rules.fall_for", 0.0);
-        let answered: f64 = self.members.values().map(|m| m.work.read(now, WORK_HALF_LIFE)).sum();
+        let answered: f64 = self.members.values().map(|m| m.work.rate(now, WORK_HALF_LIFE)).sum();
         let size: f64 = self.members.values().map(|m| m.size).sum();
-        let rate = answered / WORK_HALF_LIFE as f64 * 2f64.ln() / size * member.size;
+        let rate = answered / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
         let sent =
             member.recent_work.iter().filter(|(at, _)| *at + window as Micros > now).map(|(_, work)| work);
@@ -821,6 +808,9 @@
                 self.written.insert(session, commit);
             }
             Report { position: None, ..outcome.stated }
+        } else if write && outcome.ending == Ending::Missed {
+            // Only the primary takes a write: a miss tells the role, whatever came along.
+            Report { primary: Some(false), ..outcome.stated }
         } else {
             outcome.stated
         };
@@ -869,8 +859,7 @@
                 let waited = (took - kind.prompt).max(0.0);
                 // Long reads differ too much in their work to tell how long others wait.
                 if !long {
-                    let idle = now.saturating_sub(member.waiting_at) as f64;
-                    let before = member.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2();
+                    let before = member.average_waiting(now);
                     member.waiting = before + WAIT_WEIGHT * (waited - before);
                     member.waiting_at = now;
                 }
@@ -888,11 +877,6 @@
                 if let Some(bound) = bound {
                     member.short_of = Some((bound, now));
                 }
-                if kind.need == Need::Write {
-                    member.denied = member.denied.max(Some(now));
-                }
-                let group = member.group;
-                self.note_primary(group);
             }
             Ending::SentBack => {
                 member.answered_at = now;
@@ -967,13 +951,12 @@
             return wait;
         }
         for group in self.groups.values() {
-            if group.first_command.is_none() || group.last_command + GROUP_IDLE < now {
+            if group.last_command.is_none_or(|at| at + GROUP_IDLE < now) {
                 continue;
             }
             let lost = !group.primary.is_some_and(|server| self.well(now, server));
             // Guards against routers with little traffic that cost more in probes than in commands.
-            let commands =
-                group.commands.read(now, COPY_HALF_LIFE).max(0.1) * 2f64.ln() / COPY_HALF_LIFE as f64;
+            let commands = group.commands.rate(now, COPY_HALF_LIFE);
             let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
             let every = if lost { SEARCH_EVERY } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
             for server in &group.members {
--- a/src/decaying.rs
+++ b/src/decaying.rs
@@ -17,6 +17,11 @@
     pub fn read(&self, now: Micros, half_life: Micros) -> f64 {
         self.sum * (-(now.saturating_sub(self.at) as f64) / half_life as f64).exp2()
     }
+
+    /// What is added per microsecond of late.
+    pub fn rate(&self, now: Micros, half_life: Micros) -> f64 {
+        self.read(now, half_life) * std::f64::consts::LN_2 / half_life as f64
+    }
 }
 
 #[cfg(test)]
@@ -32,5 +37,6 @@
         }
         sum.add(1_100, 100, 1.0);
         assert!((sum.read(1_200, 100) - 2.5).abs() < 1e-9);
+        assert!((sum.rate(1_200, 100) - 0.025 * std::f64::consts::LN_2).abs() < 1e-9);
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -145,17 +145,35 @@
     pub fn sent(&mut self, held: &mut Held) -> usize {
         match self.place(held) {
             Place::Dispatch { server, .. } => {
-                held.dispatches.push(Dispatch { server, sent: self.now, ended: None });
+                self.put(held, server);
                 server
             }
             other => panic!("not sent: {other:?}"),
         }
     }
 
+    /// Notes in the command's history that it went to this server now.
+    pub fn put(&self, held: &mut Held, server: usize) {
+        held.dispatches.push(Dispatch { server, sent: self.now, ended: None });
+    }
+
+    /// How many of so many new commands are sent now.
+    pub fn taken(&mut self, command_group: usize, count: usize) -> usize {
+        let sent = (0..count).filter(|_| {
+            let held = self.command(command_group);
+            matches!(self.place(&held), Place::Dispatch { .. })
+        });
+        sent.count()
+    }
+
     /// The command's last dispatch ends so, after `took`.
     pub fn end(&mut self, held: &mut Held, ending: Ending, took: Micros) {
         self.now += took;
-        let dispatch = held.dispatches.len() - 1;
+        self.end_one(held, held.dispatches.len() - 1, ending, took);
+    }
+
+    /// One of its dispatches ends so now, having taken `took`.
+    pub fn end_one(&mut self, held: &mut Held, dispatch: usize, ending: Ending, took: Micros) {
         held.dispatches[dispatch].ended = Some(ending);
         let over = ending == Ending::Answered;
         let outcome = Outcome { dispatch, ending, took, over, stated: Report::default(), report: None };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -260,7 +260,7 @@
         for _ in 0..2_000 {
             let mut held = store.command(MUTATING);
             if let Place::Dispatch { server, .. } = store.place(&held) {
-                held.dispatches.push(Dispatch { server, sent: store.now, ended: None });
+                store.put(&mut held, server);
                 store.end(&mut held, Ending::SentBack, 0);
                 sent += 1;
             }
@@ -273,11 +273,8 @@
     store.restart(0);
     store.now += 20_000 * MS;
     store.probe(0, MS, true, 0);
-    let taken = (0..4).filter(|_| {
-        let held = store.command(MUTATING);
-        matches!(store.place(&held), Place::Dispatch { .. })
-    });
-    assert_eq!(taken.count(), 4);
+    let taken = store.taken(MUTATING, 4);
+    assert_eq!(taken, 4);
 }
 
 #[test]
@@ -287,16 +284,13 @@
         let mut store = Store::calm(&[]);
         for _ in 0..200 {
             let mut held = store.command(MUTATING);
-            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.put(&mut held, 0);
             store.end(&mut held, ending, 100 * MS);
         }
         store.restart(0);
         store.now += 8_000 * MS;
         store.probe(0, MS, true, 0);
-        let sent = (0..20).filter(|_| {
-            matches!(store.router.place(store.now, &store.command(MUTATING)), Place::Dispatch { .. })
-        });
-        sent.count()
+        store.taken(MUTATING, 20)
     });
     assert!(taken[0] <= 1 && taken[1] <= 1 && taken[2] > 1, "{taken:?}");
 }
@@ -344,11 +338,8 @@
     // Guards against many routers that all turn to a new primary at once.
     for (routers, expected) in [(1.0, 6), (5.0, 4), (40.0, 1)] {
         let mut store = Store::calm(&[("routers", Value::Number(routers))]);
-        let taken = (0..10).filter(|_| {
-            let held = store.command(MUTATING);
-            matches!(store.place(&held), Place::Dispatch { .. })
-        });
-        assert_eq!(taken.count(), expected, "{routers} routers");
+        let taken = store.taken(MUTATING, 10);
+        assert_eq!(taken, expected, "{routers} routers");
     }
 }
 
@@ -362,31 +353,19 @@
         store.now += MS;
         for _ in 0..2 {
             let mut held = store.command(ANY);
-            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.put(&mut held, 0);
             store.end(&mut held, Ending::Answered, 20 * MS);
         }
         assert_eq!(store.place(&lost), Place::NotYet, "too early for a copy");
         store.now += 300 * MS;
         assert_eq!(store.sent(&mut lost), 0);
         store.end(&mut lost, Ending::TimedOut, 200 * MS);
-        lost.dispatches[0].ended = Some(Ending::TimedOut);
-        let first = Outcome {
-            dispatch: 0,
-            ending: Ending::TimedOut,
-            took: 600 * MS,
-            over: false,
-            stated: Report::default(),
-            report: None,
-        };
-        store.router.after(store.now, &lost, &first);
+        store.end_one(&mut lost, 0, Ending::TimedOut, 600 * MS);
         store.probe(0, MS, true, 0);
         store.now += 5_000 * MS;
     }
-    let taken = (0..8).filter(|_| {
-        let held = store.command(KEYED);
-        matches!(store.place(&held), Place::Dispatch { .. })
-    });
-    assert!(taken.count() >= 4);
+    let taken = store.taken(KEYED, 8);
+    assert!(taken >= 4);
 }
 
 #[test]
@@ -398,7 +377,7 @@
         for _ in 0..writes {
             let mut held = store.command(MUTATING);
             if let Place::Dispatch { server, .. } = store.place(&held) {
-                held.dispatches.push(Dispatch { server, sent: store.now, ended: None });
+                store.put(&mut held, server);
                 out.push(held);
             }
         }
@@ -430,15 +409,12 @@
                 store.now += 100 * MS;
                 held = store.command(MUTATING);
             }
-            held.dispatches.push(Dispatch { server: 0, sent: store.now, ended: None });
+            store.put(&mut held, 0);
             store.end(&mut held, Ending::Answered, took * MS);
         }
     }
-    let taken = (0..8).filter(|_| {
-        let held = store.command(MUTATING);
-        matches!(store.place(&held), Place::Dispatch { .. })
-    });
-    assert!(taken.count() >= 2);
+    let taken = store.taken(MUTATING, 8);
+    assert!(taken >= 2);
 }
 
 #[test]
