Pace probes by the commands alone and search only while a command waits

Cause: hundreds of routers with thin traffic each probed a group four times as often as they sent it a command, because the longest pause was 4 s and a lost primary was searched for 10 s after any command. Change: up to a minute between probes of a member, 4 s while it is down, 400 ms only while a command is held for a primary. May hurt where a member stops unseen: a thin router finds out by its command.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,10 +39,12 @@
 const ROUND_WAIT: Micros = 250 * MILLI;
 
 // --- Evidence ---
-/// Probes of a group as a part of its commands, and the longest time between two of one member: so that
-/// probes cost little, yet a stopped member is known before many sessions meet it.
+/// Probes of a group as a part of its commands, and the longest time between two of one member, some ten
+/// commands of a router with thin traffic: hundreds of those must not probe more than they route.
 const PROBE_SHARE: f64 = 0.2;
-const PROBE_MOST: Micros = 4 * SECOND;
+const PROBE_MOST: Micros = 60 * SECOND;
+/// Between probes of a member that is down: a few of them see out a usual restart.
+const PROBE_DOWN: Micros = 4 * SECOND;
 /// How old a listed role may be: lists run seconds late, and fresher evidence must not lose to them.
 const LIST_LAG: Micros = 5 * SECOND;
 /// How old a report may be: its refresh and its way, a few tenths of a second.
@@ -51,8 +53,10 @@
 const CATCH_UP: Micros = 2;
 /// A group without commands for so long is no longer probed: several sessions' pauses.
 const GROUP_IDLE: Micros = 10 * SECOND;
-/// Between probes while a group lacks a well primary: a small part of an election.
+/// Between probes while a command waits for a primary: a small part of an election; and for how long one
+/// question about such a command counts as waiting: more than the time between two of them.
 const SEARCH_EVERY: Micros = 400 * MILLI;
+const SEARCH_FOR: Micros = 50 * MILLI;
 
 // --- Wellness ---
 /// Failures count half as much after this long: a few probes' time, so that a mended member soon returns.
@@ -188,6 +192,8 @@
     /// Commands of late, for the probes' share of the work.
     commands: Decaying,
     last_command: Option<Micros>,
+    /// When a command last waited here for a primary.
+    sought: Option<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -588,6 +594,10 @@
         if kind.need == Need::Fresh && !self.guarded() {
             return None;
         }
+        if let Some(group) = self.groups.get_mut(&held.command.group) {
+            group.sought = Some(now);
+        }
+        let group = self.groups.get(&held.command.group)?;
         // The last dispatches are kept for a primary that shows up.
         let spare = self.number("limits.max_dispatches", 1.0) as usize / 2;
         if held.dispatches.len() >= spare.max(1) {
@@ -954,16 +964,18 @@
             if group.last_command.is_none_or(|at| at + GROUP_IDLE < now) {
                 continue;
             }
-            let lost = !group.primary.is_some_and(|server| self.well(now, server));
+            let sought = group.sought.is_some_and(|at| now <= at + SEARCH_FOR);
             // Guards against routers with little traffic that cost more in probes than in commands.
             let commands = group.commands.rate(now, COPY_HALF_LIFE);
             let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
-            let every = if lost { SEARCH_EVERY } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
+            let paced = paced.clamp(PROBE_EVERY, PROBE_MOST);
             for server in &group.members {
                 let Some(member) = self.members.get_mut(server) else { continue };
                 if !member.serving || member.probe_out {
                     continue;
                 }
+                let every = if sought { SEARCH_EVERY } else { paced };
+                let every = if member.down { every.min(PROBE_DOWN) } else { every };
                 let next = member.probed.map_or(now, |at| at + every);
                 if next <= now {
                     member.probed = Some(now);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -417,6 +417,36 @@
     assert!(taken >= 2);
 }
 
+#[test]
+fn probes_follow_the_commands() {
+    // Guards against hundreds of routers that probe more than they route, and that search for nobody.
+    // Seconds between two commands, whether the primary is down, and the most probes in a minute.
+    for (gap, down, most) in [(30, false, 6), (30, true, 20), (1, false, 30)] {
+        let mut store = Store::calm(&[]);
+        let mut probes = 0;
+        for _ in 0..60 / gap {
+            if down {
+                store.probe_fails(0);
+            }
+            let mut held = store.command(ANY);
+            store.sent(&mut held);
+            store.end(&mut held, Ending::Answered, 20 * MS);
+            for _ in 0..gap {
+                store.now += 1_000 * MS;
+                for server in store.router.wait(store.now, None).probes {
+                    probes += 1;
+                    if server == 0 && down {
+                        store.probe_fails(0);
+                    } else {
+                        store.probe(server, MS, server == 0, 0);
+                    }
+                }
+            }
+        }
+        assert!(probes <= most, "{gap} s, down {down}: {probes}");
+    }
+}
+
 #[test]
 fn same_questions_same_answers() {
     let run = || {
