--- a/src/balance.rs
+++ b/src/balance.rs
@@ -86,8 +86,10 @@
 // --- Copies ---
 /// Further dispatches of reads as a part of first ones: enough for failures, too little for a storm.
 const COPY_SHARE: f64 = 0.1;
-/// Further dispatches allowed at any time, for routers with little traffic.
-const COPY_LEAST: f64 = 3.0;
+/// Further dispatches allowed at any time, for all routers together and for one at most: hundreds of routers
+/// with little traffic must not each copy what is late.
+const COPY_LEAST: f64 = 10.0;
+const COPY_LEAST_MOST: f64 = 3.0;
 /// Over which time further and first dispatches are compared: longer than a burst of failures.
 const COPY_HALF_LIFE: Micros = 5 * SECOND;
 
@@ -575,7 +577,8 @@
 
     fn may_copy(&self, now: Micros) -> bool {
         let firsts = self.firsts.read(now, COPY_HALF_LIFE);
-        self.copies.read(now, COPY_HALF_LIFE) < firsts * COPY_SHARE + COPY_LEAST
+        let least = (COPY_LEAST / self.number("routers", 1.0)).min(COPY_LEAST_MOST);
+        self.copies.read(now, COPY_HALF_LIFE) < firsts * COPY_SHARE + least
     }
 
     // --- The design's choice ---
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -447,6 +447,23 @@
     }
 }
 
+#[test]
+fn many_routers_copy_little_each() {
+    // Guards against a storm of copies: each of hundreds of routers is late now and then.
+    for (routers, expected) in [(1.0, 3), (400.0, 1)] {
+        let mut store = Store::calm(&[("routers", Value::Number(routers))]);
+        let mut copies = 0;
+        for _ in 0..5 {
+            let mut held = store.command(ANY);
+            store.sent(&mut held);
+            store.now += 301 * MS;
+            copies += usize::from(matches!(store.place(&held), Place::Dispatch { .. }));
+            store.end(&mut held, Ending::Answered, MS);
+        }
+        assert!(copies >= expected && copies <= expected + 1, "{routers} routers: {copies}");
+    }
+}
+
 #[test]
 fn same_questions_same_answers() {
     let run = || {
