--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -96,18 +96,7 @@
     pub fn resolved(&mut self, now: Micros, event: &Json, orders: &mut Vec<Json>) -> Result<(), String> {
         let corr = number(event, "corr")?;
         let dispatch = number(event, "go")? as usize;
-        let ending = match text(event, "reason")? {
-            "ok" => Ending::Answered,
-            "error" => Ending::Errored,
-            "full" => Ending::SentBack,
-            "timeout" => Ending::TimedOut,
-            "connect_failed" => Ending::Unconnected,
-            "reset" => Ending::Reset,
-            "cancelled" => Ending::Recalled,
-            "moot" => Ending::Unsent,
-            "miss" => Ending::Missed,
-            other => return Err(format!("'reason' {other} is not known")),
-        };
+        let ending = ending(event)?;
         let stated = self.stated(event["stand"].as_u64().unwrap_or(0));
         let report = self.report(&event["health_info"]);
         let took = time(event, "duration")?;
@@ -143,7 +132,7 @@
     pub fn pong(&mut self, now: Micros, event: &Json) -> Result<(), String> {
         let server = self.servers.of(text(event, "server")?);
         let report = self.report(&event["health_info"]);
-        self.router.probed(now, server, time(event, "duration")?, text(event, "reason")? == "ok", report);
+        self.router.probed(now, server, time(event, "duration")?, ending(event)?, report);
         Ok(())
     }
 
@@ -268,3 +257,19 @@
         }
     }
 }
+
+/// How a dispatch or a probe ended.
+fn ending(event: &Json) -> Result<Ending, String> {
+    Ok(match text(event, "reason")? {
+        "ok" => Ending::Answered,
+        "error" => Ending::Errored,
+        "full" => Ending::SentBack,
+        "timeout" => Ending::TimedOut,
+        "connect_failed" => Ending::Unconnected,
+        "reset" => Ending::Reset,
+        "cancelled" => Ending::Recalled,
+        "moot" => Ending::Unsent,
+        "miss" => Ending::Missed,
+        other => return Err(format!("'reason' {other} is not known")),
+    })
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,7 +13,8 @@
 //!    long reads gather where data is old already, so that they don't crowd out the log elsewhere.
 //! 3. Copies: a read that outlasts its patience gets a second copy or another try, and so does what only the
 //!    primary takes and seems lost, out of a small budget.
-//! 4. Room: a member gets as many commands at once as it answers in time; the rest is held, then throttled.
+//! 4. Room: a member gets as many commands at once as it answers in time, and none beyond the queue that it
+//!    told when asked, as it is in a group that was late; the rest is held, then throttled.
 //! 5. Warming: a cold member gets this router's share of a budget that its size can bear.
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
 
@@ -22,6 +23,7 @@
 use crate::chance::Chance;
 use crate::decaying::Decaying;
 use crate::interface::*;
+use crate::state::*;
 
 const MILLI: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -39,8 +41,7 @@
 const ROUND_WAIT: Micros = 250 * MILLI;
 
 // --- Evidence ---
-/// Probes of a group as a part of its commands, and the longest time between two of one member, some ten
-/// commands of a router with thin traffic: hundreds of those must not probe more than they route.
+/// Probes as a part of a group's commands, and the longest pause: hundreds of thin routers must not outdo these.
 const PROBE_SHARE: f64 = 0.2;
 const PROBE_MOST: Micros = 60 * SECOND;
 /// Between probes of a member that is down: a few of them see out a usual restart.
@@ -53,8 +54,7 @@
 const CATCH_UP: Micros = 2;
 /// A group without commands for so long is no longer probed: several sessions' pauses.
 const GROUP_IDLE: Micros = 10 * SECOND;
-/// Between probes while a command waits for a primary: a small part of an election; and for how long one
-/// question about such a command counts as waiting: more than the time between two of them.
+/// Between probes while a command waits for a primary, a small part of an election; how long one question counts.
 const SEARCH_EVERY: Micros = 400 * MILLI;
 const SEARCH_FOR: Micros = 50 * MILLI;
 
@@ -63,49 +63,60 @@
 const FAIL_HALF_LIFE: Micros = 3 * SECOND;
 /// Share of failures above which a member does not qualify: more often wrong than right.
 const FAIL_SHARE: f64 = 0.5;
+/// After a failed connection others are preferred for so long, a retry or two; where there is no other, it is
+/// tried again after a few round trips.
+const SHUT_FOR: Micros = 2 * SECOND;
+const SHUT_RETRY: Micros = 30 * MILLI;
 /// Silence and patience: this many times the mean time of the command's kind; few good answers exceed it.
 const PATIENCE: f64 = 3.0;
-/// Patience is at least this part of the response target (tries are cheap to wait for below it)...
+/// Patience as parts of the response target: below, tries are cheap to wait for; above, none is left in time.
 const PATIENCE_LEAST: f64 = 0.25;
-/// ...and at most this part, so that another try still has time.
 const PATIENCE_MOST: f64 = 0.6;
 
 // --- Crowding ---
 /// Part of each answer's waiting in a member's average: about the last ten answers count.
 const WAIT_WEIGHT: f64 = 0.1;
 /// An average without news halves in this time, so that an avoided member is tried again.
-const WAIT_HALF_LIFE: Micros = 2 * SECOND;
+const WAIT_HALF_LIFE: Micros = 10 * SECOND;
 /// Part of the response target that a member's waiting may take before its zone is left for another.
 const CROWDED: f64 = 0.25;
-/// A read of any data is long when it takes this many times as long as the shortest read with a bound: more
-/// than what differs by chance, and well under an order of magnitude.
+/// A read of any data is long at so many times the shortest bounded read: beyond what differs by chance.
 const LONG: f64 = 3.0;
 /// How fast the usual times of a command group follow new ones: over some fifty answers.
 const USUAL_WEIGHT: f64 = 0.02;
+/// So many answers' weight has the first guess of a usual time: one slow answer must not overturn it.
+const USUAL_SEEN: f64 = 3.0;
 
 // --- Copies ---
 /// Further dispatches of reads as a part of first ones: enough for failures, too little for a storm.
 const COPY_SHARE: f64 = 0.1;
-/// Further dispatches allowed at any time, for all routers together and for one at most: hundreds of routers
-/// with little traffic must not each copy what is late.
+/// Further dispatches allowed at any time, for all routers and for one: hundreds must not copy each late read.
 const COPY_LEAST: f64 = 10.0;
 const COPY_LEAST_MOST: f64 = 3.0;
 /// Over which time further and first dispatches are compared: longer than a burst of failures.
 const COPY_HALF_LIFE: Micros = 5 * SECOND;
 
 // --- Room ---
-/// Commands out at a member to start with, for all routers together and for one at most: a few servers'
-/// cores and a short queue. Guards against many routers that all turn to a new primary at once.
+/// Room to start with, for all routers and for one: hundreds that turn to a new primary must not swamp it.
 const ROOM_START: f64 = 20.0;
 const ROOM_START_MOST: f64 = 6.0;
 /// Room never falls below this. Under one, a command is followed by a pause: many routers share a member.
 const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
 const ROOM_WAIT: f64 = 0.3;
-/// What a late answer takes off the room, and what another adds while much of it is used, as parts of it: it
-/// settles where one answer in three is late.
+/// Parts of the room that a late answer takes and another adds while it is used: settles at one late in three.
 const ROOM_SHRINK: f64 = 0.15;
 const ROOM_GROW: f64 = 0.075;
+/// A report of the queue tells of a member for so long: it is part of a second old when it comes.
+const QUEUE_TELLS: Micros = 500 * MILLI;
+/// First guess of the wait for each queued command, in shortest response targets; it follows some twenty answers.
+const QUEUE_STEP: f64 = 0.1;
+const QUEUE_WEIGHT: f64 = 0.05;
+/// Share of late or lost commands from which a group's members are asked first, over a thin router's few outcomes.
+const DOUBT: f64 = 0.2;
+const DOUBT_HALF_LIFE: Micros = 20 * SECOND;
+/// Part of the response target that the waiting and the answer must stay within where a queue was told.
+const IN_TIME: f64 = 0.75;
 /// Above so many commands the steps stay as they are: a roomful of answers must not swing it.
 const ROOM_SMALL: f64 = 4.0;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
@@ -125,49 +136,6 @@
 /// Part of this router's share that is used: the rest covers chance and uneven gateways.
 const WARMING_SHARE: f64 = 0.6;
 
-/// One member of a group, as this router sees it.
-#[derive(Clone, Default)]
-struct Member {
-    group: usize,
-    zone: usize,
-    size: f64,
-    serving: bool,
-    started: Option<Micros>,
-    listed_primary: bool,
-    /// Latest evidence for and against its being the primary.
-    claimed: Option<Micros>,
-    denied: Option<Micros>,
-    /// Known position, when it was known, and how far behind the clock it stood then.
-    position: Micros,
-    placed: Micros,
-    /// Where and when a read was missed: it stood short of this then.
-    short_of: Option<(Micros, Micros)>,
-    ping: Option<f64>,
-    probed: Option<Micros>,
-    probe_out: bool,
-    down: bool,
-    answered_at: Micros,
-    /// When the latest of the answered dispatches was sent.
-    proved: Micros,
-    failures: Decaying,
-    answers: Decaying,
-    waiting: f64,
-    waiting_at: Micros,
-    /// Sent time and command group of each dispatch that is out.
-    out: Vec<(Micros, usize)>,
-    room: f64,
-    /// When a write or fresh read last found no room there.
-    wanted: Option<Micros>,
-    /// When the last command was sent there, and the mean time of its kind.
-    sent: Micros,
-    usual: f64,
-    /// While it is cold: when this router's next turn comes to send it a command.
-    turn: Micros,
-    /// Work answered, for its usual rate, and sent within the window of the cold rule.
-    work: Decaying,
-    recent_work: Vec<(Micros, f64)>,
-}
-
 impl Member {
     fn shrink(&mut self) {
         self.room = (self.room - ROOM_SHRINK * self.room.min(ROOM_SMALL)).max(ROOM_LEAST);
@@ -184,53 +152,6 @@
     }
 }
 
-/// A group of one primary and its replicas.
-#[derive(Clone, Default)]
-struct Group {
-    members: Vec<usize>,
-    primary: Option<usize>,
-    /// Rises with each change of primary; ties of an older age are void.
-    age: u64,
-    /// Commands of late, for the probes' share of the work.
-    commands: Decaying,
-    last_command: Option<Micros>,
-    /// When a command last waited here for a primary.
-    sought: Option<Micros>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Need {
-    Write,
-    Fresh,
-    Session,
-    Bounded(Micros),
-    Any,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Effect {
-    Replayable,
-    Keyed,
-    Mutating,
-}
-
-/// What the settings and the answers so far tell of a command group.
-#[derive(Clone)]
-struct Kind {
-    need: Need,
-    effect: Effect,
-    /// Keyed: repeats are dropped by any server, in its zone, or in its group; and for how long.
-    scope_all: bool,
-    scope_zone: bool,
-    repeat_within: Micros,
-    response_target: Micros,
-    late_benefit: f64,
-    /// Usual time of a prompt answer, and of any answer.
-    prompt: f64,
-    mean: f64,
-    mean_known: bool,
-}
-
 /// The dispatches that may have had an effect; one that is out counts.
 fn maybe_ran(held: &Held) -> impl Iterator<Item = &Dispatch> {
     held.dispatches.iter().filter(|d| d.ended.is_none_or(|e| !e.never_ran()))
@@ -242,6 +163,7 @@
 }
 
 /// One gateway's router.
+#[derive(Default)]
 pub struct Router {
     named: Named,
     chance: Chance,
@@ -256,23 +178,16 @@
     firsts: Decaying,
     copies: Decaying,
     watch_due: Option<Micros>,
+    /// Members to ask for their queue now; whether they tell it at all.
+    asked: Vec<usize>,
+    queues_told: bool,
+    /// What a command of a told queue adds to the waiting.
+    queue_step: f64,
 }
 
 impl Router {
     pub fn new(named: Named, seed: u64) -> Result<Self, String> {
-        let mut router = Router {
-            chance: Chance::new(seed),
-            zone: 0,
-            kinds: Vec::new(),
-            members: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            ties: BTreeMap::new(),
-            written: BTreeMap::new(),
-            firsts: Decaying::default(),
-            copies: Decaying::default(),
-            watch_due: None,
-            named,
-        };
+        let mut router = Router { chance: Chance::new(seed), named, ..Router::default() };
         router.zone = router.number("zone", 0.0) as usize;
         if router.text("list_mode") == "ask" {
             router.watch_due = Some(0);
@@ -285,6 +200,8 @@
             let kind = router.kind(k)?;
             router.kinds.push(kind);
         }
+        let shortest = router.kinds.iter().map(|kind| kind.response_target).min().unwrap_or(0);
+        router.queue_step = shortest as f64 * QUEUE_STEP;
         Ok(router)
     }
 
@@ -324,29 +241,20 @@
             late_benefit: self.number(&name("late_benefit"), 0.0),
             prompt: response_target as f64 / 10.0,
             mean: response_target as f64 / 5.0,
-            mean_known: false,
+            seen: 0.0,
         })
     }
 
     fn number(&self, name: &str, default: f64) -> f64 {
-        match self.named.get(name) {
-            Some(Value::Number(n)) => *n,
-            _ => default,
-        }
+        if let Some(Value::Number(n)) = self.named.get(name) { *n } else { default }
     }
 
     fn text(&self, name: &str) -> &str {
-        match self.named.get(name) {
-            Some(Value::Text(text)) => text,
-            _ => "",
-        }
+        if let Some(Value::Text(text)) = self.named.get(name) { text } else { "" }
     }
 
     fn flag(&self, name: &str, default: bool) -> bool {
-        match self.named.get(name) {
-            Some(Value::Flag(flag)) => *flag,
-            _ => default,
-        }
+        if let Some(Value::Flag(flag)) = self.named.get(name) { *flag } else { default }
     }
 
     // --- Notices ---
@@ -392,14 +300,21 @@
         }
     }
 
-    /// A probe came back after `took`; None: it failed.
-    pub fn probed(&mut self, now: Micros, server: usize, took: Micros, ok: bool, report: Option<Report>) {
+    /// A probe ended so after `took`.
+    pub fn probed(&mut self, now: Micros, server: usize, took: Micros, end: Ending, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&server) else { return };
         member.probe_out = false;
-        member.down = !ok;
-        if ok {
-            let ping = member.ping.unwrap_or(took as f64);
-            member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
+        match end {
+            Ending::Answered => {
+                member.down = false;
+                let ping = member.ping.unwrap_or(took as f64);
+                member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
+            }
+            Ending::Unconnected | Ending::Reset => {
+                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
+                member.shut = Some(now);
+            }
+            _ => member.down = true,
         }
         if let Some(report) = report {
             self.note(now, server, report, now.saturating_sub(REPORT_AGE));
@@ -422,6 +337,9 @@
             }
             member.placed = now;
         }
+        if let Some(queue) = report.queue {
+            (member.queue, member.queue_told, self.queues_told) = (queue, Some(now), true);
+        }
         let group = member.group;
         match report.primary {
             Some(true) => {
@@ -500,20 +418,29 @@
         };
         let Some(server) = server else {
             let spent = kind.need != Need::Write && failed(held) >= READ_TRIES;
-            let room_wanted = self.room_wanted(now, cmd.group, &kind);
-            let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST && room_wanted;
+            // Only room is missing where there is a well primary; a read may go to any member.
+            let primary = self.groups.get(&cmd.group).and_then(|group| group.primary);
+            let room = kind.need != Need::Write || primary.is_some_and(|server| self.well(now, server));
+            let overdue = room && waited as f64 > kind.response_target as f64 * HELD_MOST;
             return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
         };
+        // Guards against hundreds of routers that each learn too little from their own commands to see a queue.
+        let ask = waited as f64 <= kind.response_target as f64 * HELD_MOST && self.doubtful(now, server);
+        if ask && out == 0 {
+            self.asked.push(server);
+            return Place::NotYet;
+        }
         self.send(now, held, &kind, server, left)
     }
 
-    /// True where the group's well primary, or for reads any member, is there and only room is missing.
-    fn room_wanted(&self, now: Micros, group: usize, kind: &Kind) -> bool {
-        let Some(group) = self.groups.get(&group) else { return true };
-        match kind.need {
-            Need::Write => group.primary.is_some_and(|server| self.well(now, server)),
-            _ => true,
-        }
+    /// Where members tell their queue and many commands were late, one is asked unless it told of late.
+    fn doubtful(&self, now: Micros, server: usize) -> bool {
+        let member = &self.members[&server];
+        let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
+        let doubt = self.groups.get(&member.group).is_some_and(|group| {
+            group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * group.outcomes.read(now, DOUBT_HALF_LIFE)
+        });
+        doubt && self.queues_told && !told && self.flag("limits.probes", false)
     }
 
     /// The once-only rule, the dispatch limit and the window of keyed commands.
@@ -555,12 +482,11 @@
             self.ties.insert(session, (server, cmd.command_group, age));
         }
         let turns = self.turns(kind.mean);
-        let window = self.number("rules.fall_for", 0.0) as Micros;
+        let window = self.fall_half_life();
         if let Some(member) = self.members.get_mut(&server) {
             member.out.push((now, cmd.command_group));
             (member.sent, member.usual) = (now, kind.mean);
-            member.recent_work.retain(|(at, _)| *at + window > now);
-            member.recent_work.push((now, kind.mean));
+            member.sent_work.add(now, window, kind.mean);
             member.turn = now + turns;
         }
         Place::Dispatch { server, timeout: left }
@@ -593,6 +519,12 @@
             }
             return room.then_some(primary);
         }
+        let max = self.number("limits.max_dispatches", 1.0) as usize;
+        // The last dispatch is kept for a primary that shows up.
+        let again = group.primary.filter(|s| held.dispatches.len() + 1 < max && self.only_shut(now, *s));
+        if let Some(primary) = again {
+            return self.has_room(now, primary, kind, 1.0).then_some(primary);
+        }
         // A member that does not check would answer a fresh read from what it has.
         if kind.need == Need::Fresh && !self.guarded() {
             return None;
@@ -602,8 +534,7 @@
         }
         let group = self.groups.get(&held.command.group)?;
         // The last dispatches are kept for a primary that shows up.
-        let spare = self.number("limits.max_dispatches", 1.0) as usize / 2;
-        if held.dispatches.len() >= spare.max(1) {
+        if held.dispatches.len() >= (max / 2).max(1) {
             return None;
         }
         let untried = group.members.iter().copied().filter(|server| {
@@ -683,6 +614,13 @@
         }
         let roomy: Vec<usize> = fresh.iter().copied().filter(|s| self.has_room(now, *s, kind, 1.0)).collect();
         if !roomy.is_empty() {
+            // Where all replicas are crowded and the primary is not, none is left for the read.
+            let wait = |s: usize| self.waiting(now, &self.members[&s]);
+            let least = roomy.iter().map(|s| wait(*s)).fold(f64::INFINITY, f64::min);
+            let crowded = kind.response_target as f64 * CROWDED;
+            if let Some(primary) = primary.filter(|s| wait(*s) + crowded < least) {
+                return Some(primary);
+            }
             return self.nearest(now, &roomy, kind);
         }
         // No replica left: the primary; where servers check the bound, the most advanced replica first.
@@ -754,14 +692,28 @@
         let failures = member.failures.read(now, FAIL_HALF_LIFE);
         let answers = member.answers.read(now, FAIL_HALF_LIFE);
         let failing = failures > FAIL_SHARE * (failures + answers + 1.0);
-        member.serving && !member.down && !silent && !failing
+        let shut = member.shut.is_some_and(|at| now < at + SHUT_FOR);
+        member.serving && !member.down && !silent && !failing && !shut
+    }
+
+    /// Not well for failed connections alone, which may be this router's trouble: it may be tried again soon.
+    /// Guards against giving up a primary that serves the other routers; a dead one costs a few tries.
+    fn only_shut(&self, now: Micros, server: usize) -> bool {
+        let Some(member) = self.members.get(&server) else { return false };
+        member.serving && !member.down && member.shut.is_some_and(|at| at + SHUT_RETRY <= now)
     }
 
     /// The average waiting, or what the commands that are out already wait beyond the usual, if that is more.
     fn waiting(&self, now: Micros, member: &Member) -> f64 {
         let usual = |k: usize| if self.long(&self.kinds[k]) { f64::INFINITY } else { self.kinds[k].mean };
         let out = member.out.iter().map(|(sent, k)| now.saturating_sub(*sent) as f64 - usual(*k));
-        out.fold(member.average_waiting(now), f64::max)
+        out.fold(member.average_waiting(now), f64::max).max(self.queued(now, member))
+    }
+
+    /// The waiting that its latest report means; 0 without one.
+    fn queued(&self, now: Micros, member: &Member) -> f64 {
+        let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
+        if told { member.queue * self.queue_step } else { 0.0 }
     }
 
     fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
@@ -769,7 +721,9 @@
         let room = member.room * share;
         let pause = (member.usual * (1.0 / room - 1.0).max(0.0)) as Micros;
         let open = (member.out.len() as f64) < room.max(1.0) && now >= member.sent + pause;
-        open && self.warm_enough(now, member, kind.mean)
+        let queued = self.queued(now, member);
+        let in_time = queued <= 0.0 || queued + kind.prompt < kind.response_target as f64 * IN_TIME;
+        open && in_time && self.warm_enough(now, member, kind.mean)
     }
 
     /// A cold member gets no more than this router's share of what the rule on cold servers allows. What
@@ -785,10 +739,14 @@
         let size: f64 = self.members.values().map(|m| m.size).sum();
         let rate = answered / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
-        let sent =
-            member.recent_work.iter().filter(|(at, _)| *at + window as Micros > now).map(|(_, work)| work);
+        let sent = member.sent_work.read(now, self.fall_half_life());
         // Without enough evidence, all routers in turn send it one command at a time.
-        sent.sum::<f64>() + work <= budget || member.out.is_empty() && now >= member.turn
+        sent + work <= budget || member.out.is_empty() && now >= member.turn
+    }
+
+    /// A steady rate adds up over the window of the cold rule to as much as decays with this half-life.
+    fn fall_half_life(&self) -> Micros {
+        (self.number("rules.fall_for", 0.0) * std::f64::consts::LN_2) as Micros
     }
 
     fn cold_part(&self, now: Micros, member: &Member) -> f64 {
@@ -811,9 +769,7 @@
     pub fn after(&mut self, now: Micros, held: &Held, outcome: &Outcome) -> After {
         let Some(dispatch) = held.dispatches.get(outcome.dispatch) else { return After::Ask };
         let k = held.command.command_group;
-        // What a missed read needed when it was sent, and the server lacked until it sent it back.
-        let needed = self.kinds.get(k).and_then(|kind| self.bound(dispatch.sent, &held.command, kind));
-        self.learn(now, k, dispatch, outcome, needed);
+        self.learn(now, held, dispatch, outcome);
         let commit = outcome.stated.position.filter(|_| outcome.ending == Ending::Answered);
         let write = self.kinds.get(k).is_some_and(|kind| kind.need == Need::Write);
         let stated = if write && commit.is_some() {
@@ -843,14 +799,10 @@
         After::Over { recall: if self.flag("limits.recalls", false) { out.collect() } else { Vec::new() } }
     }
 
-    fn learn(
-        &mut self,
-        now: Micros,
-        k: usize,
-        dispatch: &Dispatch,
-        outcome: &Outcome,
-        bound: Option<Micros>,
-    ) {
+    fn learn(&mut self, now: Micros, held: &Held, dispatch: &Dispatch, outcome: &Outcome) {
+        let k = held.command.command_group;
+        // What a missed read needed when it was sent, and the server lacked until it sent it back.
+        let bound = self.kinds.get(k).and_then(|kind| self.bound(dispatch.sent, &held.command, kind));
         let long = self.kinds.get(k).is_some_and(|kind| self.long(kind));
         let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
         else {
@@ -860,14 +812,30 @@
             member.out.swap_remove(place);
         }
         let target = kind.response_target as f64;
+        if let Some(group) = self.groups.get_mut(&member.group) {
+            group.outcomes.add(now, DOUBT_HALF_LIFE, 1.0);
+            if matches!(outcome.ending, Ending::SentBack | Ending::TimedOut) || outcome.took as f64 > target {
+                group.bad.add(now, DOUBT_HALF_LIFE, 1.0);
+            }
+        }
+        let told =
+            member.queue_told.is_some_and(|at| at <= dispatch.sent && dispatch.sent <= at + QUEUE_TELLS);
+        if told
+            && member.queue >= 2.0
+            && !long
+            && matches!(outcome.ending, Ending::Answered | Ending::TimedOut)
+        {
+            let step = (outcome.took as f64 - kind.prompt).max(0.0) / member.queue;
+            self.queue_step += QUEUE_WEIGHT * (step - self.queue_step);
+        }
         match outcome.ending {
             Ending::Answered => {
                 let took = outcome.took as f64;
                 let weight = if took < kind.prompt { 5.0 * USUAL_WEIGHT } else { USUAL_WEIGHT };
                 kind.prompt += weight * (took - kind.prompt).clamp(-kind.prompt, kind.prompt);
-                kind.mean =
-                    if kind.mean_known { kind.mean + USUAL_WEIGHT * (took - kind.mean) } else { took };
-                kind.mean_known = true;
+                // Guards against a router with thin traffic that takes one slow answer for the usual.
+                kind.seen += 1.0;
+                kind.mean += (1.0 / (kind.seen + USUAL_SEEN)).max(USUAL_WEIGHT) * (took - kind.mean);
                 member.work.add(now, WORK_HALF_LIFE, kind.mean);
                 let waited = (took - kind.prompt).max(0.0);
                 // Long reads differ too much in their work to tell how long others wait.
@@ -897,7 +865,16 @@
             }
             Ending::Errored => {
                 member.answered_at = now;
-                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
+                // Guards against commands that fail anywhere and are no member's fault: the first error counts
+                // against its member until another member errs on the same command.
+                let erred = |d: &&Dispatch| d.ended == Some(Ending::Errored) && d.server != dispatch.server;
+                let mut others = held.dispatches.iter().filter(erred);
+                let (other, more) = (others.next(), others.next().is_some());
+                let amount = if other.is_some() { -1.0 } else { 1.0 };
+                let server = other.map_or(dispatch.server, |d| d.server);
+                if let Some(member) = self.members.get_mut(&server).filter(|_| !more) {
+                    member.failures.add(now, FAIL_HALF_LIFE, amount);
+                }
             }
             Ending::TimedOut if member.answered_at < dispatch.sent => {
                 // Nothing came since it was sent: as good as down until a probe or an answer says otherwise.
@@ -906,7 +883,7 @@
             }
             Ending::Unconnected | Ending::Reset => {
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
-                member.down = true;
+                member.shut = Some(now);
             }
             // Guards against taking lost answers for a queue: where later ones were answered, room stays.
             Ending::TimedOut | Ending::Recalled
@@ -963,6 +940,11 @@
         if !self.flag("limits.probes", false) {
             return wait;
         }
+        for server in std::mem::take(&mut self.asked) {
+            let Some(member) = self.members.get_mut(&server).filter(|m| !m.probe_out) else { continue };
+            (member.probed, member.probe_out) = (Some(now), true);
+            wait.probes.push(server);
+        }
         for group in self.groups.values() {
             if group.last_command.is_none_or(|at| at + GROUP_IDLE < now) {
                 continue;
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -1,5 +1,6 @@
 //! A multiply-with-carry generator: the same seed gives the same draws on every machine.
 
+#[derive(Default)]
 pub(crate) struct Chance {
     state: u64,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 mod chance;
 mod decaying;
 pub mod interface;
+mod state;
 
 pub use balance::Router;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,7 +109,7 @@
     pub fn probe(&mut self, server: usize, ping: Micros, primary: bool, behind: Micros) {
         let report =
             Report { position: Some(self.now - behind), primary: Some(primary), ..Report::default() };
-        self.router.probed(self.now, server, ping, true, Some(report));
+        self.router.probed(self.now, server, ping, Ending::Answered, Some(report));
     }
 
     /// For five seconds this replica applies nothing while the others go on.
@@ -121,7 +121,7 @@
     }
 
     pub fn probe_fails(&mut self, server: usize) {
-        self.router.probed(self.now, server, 250 * MS, false, None);
+        self.router.probed(self.now, server, 250 * MS, Ending::TimedOut, None);
     }
 
     /// A command of session 1 that has just arrived; the session wrote 900 ms ago.
@@ -166,6 +166,15 @@
         sent.count()
     }
 
+    /// Ten commands of this group are answered in so long each.
+    pub fn answers_take(&mut self, command_group: usize, took: Micros) {
+        for _ in 0..10 {
+            let mut held = self.command(command_group);
+            self.sent(&mut held);
+            self.end(&mut held, Ending::Answered, took);
+        }
+    }
+
     /// The command's last dispatch ends so, after `took`.
     pub fn end(&mut self, held: &mut Held, ending: Ending, took: Micros) {
         self.now += took;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -127,9 +127,7 @@
 fn long_reads_leave_the_fresh_replicas_alone() {
     // Guards against reports on every replica, which keep all of them from applying the log.
     let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
-    let mut first = store.command(ANY);
-    store.sent(&mut first);
-    store.end(&mut first, Ending::Answered, 700 * MS);
+    store.answers_take(ANY, 700 * MS);
     for _ in 0..6 {
         let mut held = store.command(ANY);
         assert_eq!(store.sent(&mut held), 2);
@@ -141,9 +139,7 @@
 fn the_most_advanced_replica_takes_no_long_reads() {
     // Guards against long reads that spill over onto the last replica that can serve bounded ones.
     let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
-    let mut first = store.command(ANY);
-    store.sent(&mut first);
-    store.end(&mut first, Ending::Answered, 700 * MS);
+    store.answers_take(ANY, 700 * MS);
     store.now += 10 * MS;
     let mut taken = 0;
     while let Place::Dispatch { server, .. } = store.router.place(store.now, &store.command(ANY)) {
@@ -464,6 +460,97 @@
     }
 }
 
+#[test]
+fn a_group_that_was_late_is_asked_for_its_queues() {
+    // Guards against thin routers that send into long queues for want of own evidence. Queues told by members 1
+    // and 2, and who may get the read; nobody where both are too long.
+    // The primary's is as long.
+    for (queues, expected) in [([0.0, 30.0], Some(1)), ([30.0, 0.0], Some(2)), ([30.0, 30.0], None)] {
+        let mut store = Store::calm(&[]);
+        let tell = |store: &mut Store, server: usize, queue: f64| {
+            let report = Report { queue: Some(queue), ..Report::default() };
+            store.router.probed(store.now, server, MS, Ending::Answered, Some(report));
+        };
+        tell(&mut store, 0, 30.0);
+        let mut late = store.command(ANY);
+        store.sent(&mut late);
+        store.end(&mut late, Ending::Answered, 900 * MS);
+        let held = store.command(ANY);
+        let mut asked = Vec::new();
+        let place = loop {
+            match store.place(&held) {
+                Place::NotYet => store.now += 10 * MS,
+                other => break other,
+            }
+            for server in store.router.wait(store.now, None).probes {
+                asked.push(server);
+                tell(&mut store, server, [30.0, queues[0], queues[1]][server]);
+            }
+        };
+        match expected {
+            Some(server) => assert!(
+                matches!(place, Place::Dispatch { server: s, .. } if s == server),
+                "{queues:?}: {place:?}, asked {asked:?}"
+            ),
+            None => assert_eq!(place, Place::Never(Final::Throttled { come_back: 0 })),
+        }
+        assert!(!asked.is_empty());
+    }
+}
+
+#[test]
+fn one_slow_answer_makes_no_read_long() {
+    // Guards against a router with thin traffic that sends all reads of any data where data is old already.
+    let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
+    let mut first = store.command(ANY);
+    store.sent(&mut first);
+    store.end(&mut first, Ending::Answered, 700 * MS);
+    store.now += 30_000 * MS;
+    let mut seen = [0; 3];
+    for _ in 0..20 {
+        let mut held = store.command(ANY);
+        seen[store.sent(&mut held)] += 1;
+        store.end(&mut held, Ending::Answered, 20 * MS);
+    }
+    assert!(seen[1] > 0 && seen[2] > 0, "{seen:?}");
+}
+
+#[test]
+fn a_command_that_fails_anywhere_is_no_members_fault() {
+    // Guards against leaving every member for commands that get an error wherever they go: at how many members
+    // each command errs, and whether member 1 is left alone then.
+    for (members, left) in [(1, true), (2, false)] {
+        let mut store = Store::calm(&[]);
+        for _ in 0..6 {
+            let mut held = store.command(ANY);
+            for server in 1..=members {
+                store.put(&mut held, server);
+                store.end(&mut held, Ending::Errored, MS);
+            }
+        }
+        let mut seen = [0; 3];
+        for _ in 0..20 {
+            let mut held = store.command(ANY);
+            seen[store.sent(&mut held)] += 1;
+            store.end(&mut held, Ending::Answered, 20 * MS);
+        }
+        assert_eq!(seen[1] == 0, left, "{members} members: {seen:?}");
+    }
+}
+
+#[test]
+fn a_primary_that_refuses_connections_is_tried_again_and_a_silent_one_is_not() {
+    // Guards against giving up a primary that refuses this router alone: replicas would send each write back.
+    for (ending, again) in [(Ending::Unconnected, true), (Ending::Reset, true), (Ending::TimedOut, false)] {
+        let mut store = Store::calm(&[]);
+        let mut held = store.command(KEYED);
+        store.sent(&mut held);
+        store.end(&mut held, ending, 300 * MS);
+        store.now += 40 * MS;
+        assert_eq!(matches!(store.place(&held), Place::Dispatch { server: 0, .. }), again, "{ending:?}");
+    }
+}
+
 #[test]
 fn same_questions_same_answers() {
     let run = || {
