Take gone as advice where the settings say so

What told it from lost servers: they went on answering probes and commands, and the positions they reported went on. Members now leave by their own failures. May hurt where a server is really gone: each router pays a failed connection or two before it is shut.

--- a/crates/wirehost/src/named.rs
+++ b/crates/wirehost/src/named.rs
@@ -4,7 +4,7 @@
 use tansyjunction::interface::{Named, Value};
 
 /// Settings that are taken over: where they stand on the wire, their name here, what a number is divided by.
-const TAKEN: [(&str, &str, f64); 20] = [
+const TAKEN: [(&str, &str, f64); 21] = [
     ("balancers", "routers", 1.0),
     ("me", "router", 1.0),
     ("round", "round", 1_000.0),
@@ -22,6 +22,7 @@
     ("guarantees/cold", "rules.cold", 1_000.0),
     ("guarantees/cold_from", "rules.cold_from", 1.0),
     ("guarantees/drain_grace", "rules.drain_grace", 1_000.0),
+    ("guarantees/gone_is_advice", "rules.gone_is_advice", 1.0),
     ("guarantees/fall_multiple", "rules.fall_multiple", 1.0),
     ("guarantees/overload_for", "rules.fall_for", 1_000.0),
     ("guarantees/grace_to_answer", "rules.answer_grace", 1_000.0),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -265,7 +265,9 @@
             self.watch_due = Some(now + SECOND);
             return;
         };
-        if whole {
+        // Where gone is advice only, a list may call live servers gone, or be empty: what they answer tells more.
+        let advice = self.flag("rules.gone_is_advice", false);
+        if whole && !advice {
             for (server, member) in &mut self.members {
                 member.serving &= entries.iter().any(|entry| entry.server == *server);
             }
@@ -281,15 +283,15 @@
             }
             let member =
                 self.members.entry(entry.server).or_insert_with(|| Member { room, ..Member::default() });
-            let advice_only = entry.standing == Standing::Gone;
+            let gone = entry.standing == Standing::Gone;
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
                 member.started = entry.started;
                 member.turn = now + first_turn;
                 member.failures = Decaying::default();
             }
-            member.serving = entry.standing == Standing::Serving;
-            if !advice_only {
+            member.serving = entry.standing == Standing::Serving || gone && advice && member.serving;
+            if !gone {
                 (member.group, member.zone, member.size) = (entry.group, entry.zone, entry.size.max(0.01));
             }
             if entry.primary && !member.listed_primary {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -246,6 +246,27 @@
     }
 }
 
+#[test]
+fn where_gone_is_advice_a_list_of_gone_members_changes_nothing() {
+    // Guards against a list that calls live servers gone, or is empty, for a while. Whether gone is advice, what
+    // the list says (None: nothing at all), and whether a read is still sent.
+    for (advice, standing, sent) in [
+        (true, Some(Standing::Gone), true),
+        (true, None, true),
+        (true, Some(Standing::Draining), false),
+        (false, Some(Standing::Gone), false),
+        (false, None, false),
+    ] {
+        let mut store = Store::calm(&[("rules.gone_is_advice", Value::Flag(advice))]);
+        match standing {
+            Some(standing) => (0..3).for_each(|server| store.standing(server, standing)),
+            None => store.router.listed(store.now, Some(&[]), true),
+        }
+        let held = store.command(ANY);
+        assert_eq!(matches!(store.place(&held), Place::Dispatch { .. }), sent, "{advice}, {standing:?}");
+    }
+}
+
 #[test]
 fn a_cold_member_gets_a_trickle_until_others_have_shown_what_is_usual() {
     // Guards against many routers that each think one command harmless: the more there are, the rarer the turns.
