Tell an overloaded member from a stopped one by the queue it tells

That it answered probes and told a queue showed that it was overloaded. Reads that spill to a primary ask it first (10% of them came in time), and missed reads count as reason to ask. May hurt where a hung server still tells an old queue: writes wait for it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -109,9 +109,11 @@
 const ROOM_GROW: f64 = 0.075;
 /// A report of the queue tells of a member for so long: it is part of a second old when it comes.
 const QUEUE_TELLS: Micros = 500 * MILLI;
-/// First guess of the wait for each queued command, in shortest response targets; it follows some twenty answers.
+/// First guesses of what a told queue and each command in it mean for the waiting, in shortest response targets,
+/// and how fast they follow answers, over a few: a thin router meets few queues.
+const QUEUE_BASE: f64 = 0.25;
 const QUEUE_STEP: f64 = 0.1;
-const QUEUE_WEIGHT: f64 = 0.05;
+const QUEUE_WEIGHT: f64 = 0.3;
 /// Share of late or lost commands from which a group's members are asked first, over a thin router's few outcomes.
 const DOUBT: f64 = 0.2;
 const DOUBT_HALF_LIFE: Micros = 20 * SECOND;
@@ -181,7 +183,8 @@
     /// Members to ask for their queue now; whether they tell it at all.
     asked: Vec<usize>,
     queues_told: bool,
-    /// What a command of a told queue adds to the waiting.
+    /// What a told queue means for the waiting, and what each command in it adds.
+    queue_base: f64,
     queue_step: f64,
 }
 
@@ -201,7 +204,7 @@
             router.kinds.push(kind);
         }
         let shortest = router.kinds.iter().map(|kind| kind.response_target).min().unwrap_or(0);
-        router.queue_step = shortest as f64 * QUEUE_STEP;
+        (router.queue_base, router.queue_step) = (shortest as f64 * QUEUE_BASE, shortest as f64 * QUEUE_STEP);
         Ok(router)
     }
 
@@ -422,12 +425,15 @@
             let spent = kind.need != Need::Write && failed(held) >= READ_TRIES;
             // Only room is missing where there is a well primary; a read may go to any member.
             let primary = self.groups.get(&cmd.group).and_then(|group| group.primary);
-            let room = kind.need != Need::Write || primary.is_some_and(|server| self.well(now, server));
+            let there = |server| self.well(now, server) || self.busy(now, server);
+            let room = kind.need != Need::Write || primary.is_some_and(there);
             let overdue = room && waited as f64 > kind.response_target as f64 * HELD_MOST;
             return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
         };
         // Guards against hundreds of routers that each learn too little from their own commands to see a queue.
-        let ask = waited as f64 <= kind.response_target as f64 * HELD_MOST && self.doubtful(now, server);
+        let read = !matches!(kind.need, Need::Write | Need::Fresh);
+        let ask =
+            waited as f64 <= kind.response_target as f64 * HELD_MOST && self.doubtful(now, server, read);
         if ask && out == 0 {
             self.asked.push(server);
             return Place::NotYet;
@@ -436,13 +442,15 @@
     }
 
     /// Where members tell their queue and many commands were late, one is asked unless it told of late.
-    fn doubtful(&self, now: Micros, server: usize) -> bool {
+    fn doubtful(&self, now: Micros, server: usize, read: bool) -> bool {
         let member = &self.members[&server];
         let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
         let doubt = self.groups.get(&member.group).is_some_and(|group| {
             group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * group.outcomes.read(now, DOUBT_HALF_LIFE)
         });
-        doubt && self.queues_told && !told && self.flag("limits.probes", false)
+        // A read that spills to its primary must not crowd out the writes there.
+        let spilled = read && self.groups.get(&member.group).is_some_and(|g| g.primary == Some(server));
+        (doubt || spilled) && self.queues_told && !told && self.flag("limits.probes", false)
     }
 
     /// The once-only rule, the dispatch limit and the window of keyed commands.
@@ -514,7 +522,8 @@
     /// Writes and fresh reads: the known primary; without one, members in turn, waiting after a round.
     fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
         let group = self.groups.get(&held.command.group)?;
-        if let Some(primary) = group.primary.filter(|server| self.well(now, *server)) {
+        let busy = |server: &usize| self.well(now, *server) || self.busy(now, *server);
+        if let Some(primary) = group.primary.filter(busy) {
             let room = self.has_room(now, primary, kind, 1.0);
             if let Some(member) = self.members.get_mut(&primary).filter(|_| !room) {
                 member.wanted = Some(now);
@@ -698,6 +707,13 @@
         member.serving && !member.down && !silent && !failing && !shut
     }
 
+    /// Silent for its queue alone, of which it told since. Guards against taking an overloaded member for a
+    /// stopped one: writes would be sent back by the others, and reads run again elsewhere.
+    fn busy(&self, now: Micros, server: usize) -> bool {
+        let told = |m: &Member| m.queue_told.is_some_and(|at| now <= at + 2 * QUEUE_TELLS) && m.queue >= 1.0;
+        self.members.get(&server).is_some_and(|m| m.serving && told(m))
+    }
+
     /// Not well for failed connections alone, which may be this router's trouble: it may be tried again soon.
     /// Guards against giving up a primary that serves the other routers; a dead one costs a few tries.
     fn only_shut(&self, now: Micros, server: usize) -> bool {
@@ -715,7 +731,7 @@
     /// The waiting that its latest report means; 0 without one.
     fn queued(&self, now: Micros, member: &Member) -> f64 {
         let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
-        if told { member.queue * self.queue_step } else { 0.0 }
+        if told && member.queue >= 0.5 { self.queue_base + member.queue * self.queue_step } else { 0.0 }
     }
 
     fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
@@ -816,19 +832,21 @@
         let target = kind.response_target as f64;
         if let Some(group) = self.groups.get_mut(&member.group) {
             group.outcomes.add(now, DOUBT_HALF_LIFE, 1.0);
-            if matches!(outcome.ending, Ending::SentBack | Ending::TimedOut) || outcome.took as f64 > target {
+            let missed = outcome.ending == Ending::Missed && kind.need != Need::Write;
+            let lost = matches!(outcome.ending, Ending::SentBack | Ending::TimedOut);
+            if missed || lost || outcome.took as f64 > target {
                 group.bad.add(now, DOUBT_HALF_LIFE, 1.0);
             }
         }
         let told =
             member.queue_told.is_some_and(|at| at <= dispatch.sent && dispatch.sent <= at + QUEUE_TELLS);
-        if told
-            && member.queue >= 2.0
-            && !long
-            && matches!(outcome.ending, Ending::Answered | Ending::TimedOut)
-        {
-            let step = (outcome.took as f64 - kind.prompt).max(0.0) / member.queue;
-            self.queue_step += QUEUE_WEIGHT * (step - self.queue_step);
+        let lasted = matches!(outcome.ending, Ending::Answered | Ending::TimedOut) && !long;
+        if told && lasted && member.queue >= 0.5 {
+            let waited = (outcome.took as f64 - kind.prompt).max(0.0);
+            let off = QUEUE_WEIGHT * (waited - self.queue_base - member.queue * self.queue_step);
+            let scale = 1.0 + (member.queue * QUEUE_STEP).powi(2);
+            self.queue_base = (self.queue_base + off / scale).max(0.0);
+            self.queue_step = (self.queue_step + off * member.queue * QUEUE_STEP.powi(2) / scale).max(0.0);
         }
         match outcome.ending {
             Ending::Answered => {
@@ -925,7 +943,13 @@
         let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
         let again = held.dispatches.len() < READ_TRIES && self.may_copy(now);
         let server = held.dispatches[last].server;
-        if alone && read && again && now >= sent + patience && !self.well(now, server) {
+        if alone
+            && read
+            && again
+            && now >= sent + patience
+            && !self.well(now, server)
+            && !self.busy(now, server)
+        {
             wait.recall.push(last);
         }
         wait
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -519,6 +519,22 @@
     }
 }
 
+#[test]
+fn an_overloaded_primary_is_not_taken_for_a_stopped_one() {
+    // Guards against writes that go round the replicas while their primary has a queue. What the primary told when
+    // it was probed, and whether the next write is held rather than tried elsewhere.
+    for (queue, held_back) in [(Some(50.0), true), (None, false)] {
+        let mut store = Store::calm(&[]);
+        let mut slow = store.command(MUTATING);
+        store.sent(&mut slow);
+        store.now += 600 * MS;
+        let report = Report { queue, ..Report::default() };
+        store.router.probed(store.now, 0, MS, Ending::Answered, Some(report));
+        let write = store.command(MUTATING);
+        assert_eq!(store.place(&write) == Place::NotYet, held_back, "queue {queue:?}");
+    }
+}
+
 #[test]
 fn one_slow_answer_makes_no_read_long() {
     // Guards against a router with thin traffic that sends all reads of any data where data is old already.
