Send no long read to a cold server on a turn alone, and weigh lost probes

Where most probes are lost they tell nothing.

Reads no longer stay off a primary for a second after a write found no room: asking first has replaced it.

--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -32,6 +32,8 @@
 struct Entry {
     held: Held,
     over: bool,
+    /// When the router is to be asked about it again; timers for other times are void.
+    due: Micros,
 }
 
 pub struct Instance {
@@ -88,7 +90,7 @@
             written_ago: event["wrote_ms_ago"].as_f64().map(|ms| (ms * 1_000.0) as Micros),
         };
         let held = Held { command, dispatches: Vec::new() };
-        self.commands.insert(corr, Entry { held, over: false });
+        self.commands.insert(corr, Entry { held, over: false, due: 0 });
         self.ask(now, corr, orders);
         Ok(())
     }
@@ -221,7 +223,11 @@
         for go in wait.recall {
             orders.push(json!({"recall": {"i": i, "corr": corr, "go": go}}));
         }
-        self.timers.push(Reverse((now + wait.micros.max(1), corr)));
+        let due = now + wait.micros.max(1);
+        if entry.due != due {
+            entry.due = due;
+            self.timers.push(Reverse((due, corr)));
+        }
     }
 
     /// A command is kept until it is over and the last of its dispatches has ended.
@@ -234,11 +240,13 @@
 
     /// After the events of a batch: due questions, then the router's own wait.
     pub fn settle(&mut self, now: Micros, orders: &mut Vec<Json>) {
-        while let Some(Reverse((_, corr))) =
+        while let Some(Reverse((due, corr))) =
             self.timers.peek().copied().filter(|Reverse((due, _))| *due <= now)
         {
             self.timers.pop();
-            self.ask(now, corr, orders);
+            if self.commands.get(&corr).is_some_and(|entry| entry.due == due) {
+                self.ask(now, corr, orders);
+            }
         }
         let i = self.number;
         let wait = self.router.wait(now, None);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,6 +46,8 @@
 const PROBE_MOST: Micros = 60 * SECOND;
 /// Between probes of a member that is down: a few of them see out a usual restart.
 const PROBE_DOWN: Micros = 4 * SECOND;
+/// Over which time lost probes are held against all: a few periods.
+const PROBES_HALF_LIFE: Micros = 10 * SECOND;
 /// How old a listed role may be: lists run seconds late, and fresher evidence must not lose to them.
 const LIST_LAG: Micros = 5 * SECOND;
 /// How old a report may be: its refresh and its way, a few tenths of a second.
@@ -125,9 +127,7 @@
 const HELD_MOST: f64 = 0.25;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
 const READ_ROOM: f64 = 0.5;
-/// After a write found no room at a primary, reads stay away for so long: some ten writes' time.
-const WANTED_FOR: Micros = SECOND;
-/// Between questions about a held command: a few rounds of the caller.
+/// Between questions about a held command: a few rounds of the caller, and half of what it has waited.
 const HELD_POLL: Micros = 10 * MILLI;
 /// The advice to a throttled client, as a part of the response target.
 const COME_BACK: f64 = 0.5;
@@ -183,6 +183,10 @@
     /// Members to ask for their queue now; whether they tell it at all.
     asked: Vec<usize>,
     queues_told: bool,
+    /// Probes of late, those that timed out, and whether most do.
+    probes: Decaying,
+    probes_lost: Decaying,
+    probes_lost_most: bool,
     /// What a told queue means for the waiting, and what each command in it adds.
     queue_base: f64,
     queue_step: f64,
@@ -260,8 +264,6 @@
         if let Some(Value::Flag(flag)) = self.named.get(name) { *flag } else { default }
     }
 
-    // --- Notices ---
-
     /// The server list, or changes to it; a whole list drops what it leaves out. None: the call failed.
     pub fn listed(&mut self, now: Micros, entries: Option<&[Listed]>, whole: bool) {
         let Some(entries) = entries else {
@@ -309,6 +311,14 @@
     pub fn probed(&mut self, now: Micros, server: usize, took: Micros, end: Ending, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&server) else { return };
         member.probe_out = false;
+        // Guards against probes that get lost or are turned away while commands are answered: where most of them
+        // fail, whoever is asked, they tell nothing of the member.
+        self.probes.add(now, PROBES_HALF_LIFE, 1.0);
+        let lost = if end == Ending::TimedOut { 1.0 } else { 0.0 };
+        self.probes_lost.add(now, PROBES_HALF_LIFE, lost);
+        let tell = self.probes_lost.read(now, PROBES_HALF_LIFE)
+            <= FAIL_SHARE * self.probes.read(now, PROBES_HALF_LIFE);
+        self.probes_lost_most = !tell;
         match end {
             Ending::Answered => {
                 member.down = false;
@@ -319,7 +329,7 @@
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
                 member.shut = Some(now);
             }
-            _ => member.down = true,
+            _ => member.down = tell,
         }
         if let Some(report) = report {
             self.note(now, server, report, now.saturating_sub(REPORT_AGE));
@@ -374,8 +384,6 @@
         }
     }
 
-    // --- Where to send this command ---
-
     pub fn place(&mut self, now: Micros, held: &Held) -> Place {
         let cmd = &held.command;
         let Some(kind) = self.kinds.get(cmd.command_group).cloned() else {
@@ -446,11 +454,13 @@
         let member = &self.members[&server];
         let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
         let doubt = self.groups.get(&member.group).is_some_and(|group| {
-            group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * group.outcomes.read(now, DOUBT_HALF_LIFE)
+            // A few outcomes more, or one late answer would tell for as long as no other comes.
+            group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * (group.outcomes.read(now, DOUBT_HALF_LIFE) + 2.0)
         });
         // A read that spills to its primary must not crowd out the writes there.
         let spilled = read && self.groups.get(&member.group).is_some_and(|g| g.primary == Some(server));
-        (doubt || spilled) && self.queues_told && !told && self.flag("limits.probes", false)
+        let tell = self.queues_told && !self.probes_lost_most && self.flag("limits.probes", false);
+        (doubt || spilled) && tell && !told
     }
 
     /// The once-only rule, the dispatch limit and the window of keyed commands.
@@ -517,18 +527,12 @@
         self.copies.read(now, COPY_HALF_LIFE) < firsts * COPY_SHARE + least
     }
 
-    // --- The design's choice ---
-
     /// Writes and fresh reads: the known primary; without one, members in turn, waiting after a round.
     fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
         let group = self.groups.get(&held.command.group)?;
         let busy = |server: &usize| self.well(now, *server) || self.busy(now, *server);
         if let Some(primary) = group.primary.filter(busy) {
-            let room = self.has_room(now, primary, kind, 1.0);
-            if let Some(member) = self.members.get_mut(&primary).filter(|_| !room) {
-                member.wanted = Some(now);
-            }
-            return room.then_some(primary);
+            return self.has_room(now, primary, kind, 1.0).then_some(primary);
         }
         let max = self.number("limits.max_dispatches", 1.0) as usize;
         // The last dispatch is kept for a primary that shows up.
@@ -581,7 +585,8 @@
         let group = self.groups.get(&cmd.group)?;
         let waited = now.saturating_sub(cmd.arrived);
         // A new router waits for the first probe answers, up to the response target.
-        let unheard = group.members.iter().all(|server| self.members[server].ping.is_none());
+        let heard = |m: &Member| m.ping.is_some() || m.probed.is_some() && !m.probe_out;
+        let unheard = !group.members.iter().any(|server| heard(&self.members[server]));
         let expected = self.flag("limits.probes", false) && unheard && waited < kind.response_target;
         if expected || failed(held) >= READ_TRIES {
             return None;
@@ -605,11 +610,7 @@
         {
             return Some(server);
         }
-        let primary = group.primary.filter(|s| {
-            // Guards against reads that crowd out writes: none where one had to wait for room of late.
-            let wanted = self.members[s].wanted.is_some_and(|at| now <= at + WANTED_FOR);
-            usable(s) && self.has_room(now, *s, kind, READ_ROOM) && !wanted
-        });
+        let primary = group.primary.filter(|s| usable(s) && self.has_room(now, *s, kind, READ_ROOM));
         // A long read may keep its replica from applying the log: the one furthest behind with room gets it.
         if self.long(kind) {
             let crowded = kind.response_target as f64 * CROWDED;
@@ -691,8 +692,6 @@
         member.position > 0 && member.position + CATCH_UP * gained < bound || member.fell_short(now, bound)
     }
 
-    // --- Wellness, crowding, room, warming ---
-
     fn well(&self, now: Micros, server: usize) -> bool {
         let Some(member) = self.members.get(&server) else { return false };
         // A member that took commands and answers none is silent, whatever its probes say.
@@ -741,13 +740,13 @@
         let open = (member.out.len() as f64) < room.max(1.0) && now >= member.sent + pause;
         let queued = self.queued(now, member);
         let in_time = queued <= 0.0 || queued + kind.prompt < kind.response_target as f64 * IN_TIME;
-        open && in_time && self.warm_enough(now, member, kind.mean)
+        open && in_time && self.warm_enough(now, member, kind)
     }
 
     /// A cold member gets no more than this router's share of what the rule on cold servers allows. What
     /// this router has answered by an average member, summed over all routers, is what such a member carries
     /// at least; a busiest member would not do, since each router may have another.
-    fn warm_enough(&self, now: Micros, member: &Member, work: f64) -> bool {
+    fn warm_enough(&self, now: Micros, member: &Member, kind: &Kind) -> bool {
         let part = self.cold_part(now, member);
         if part >= 1.0 {
             return true;
@@ -758,8 +757,8 @@
         let rate = answered / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
         let sent = member.sent_work.read(now, self.fall_half_life());
-        // Without enough evidence, all routers in turn send it one command at a time.
-        sent + work <= budget || member.out.is_empty() && now >= member.turn
+        // Without enough evidence, all routers in turn send it one command at a time, and no long read.
+        sent + kind.mean <= budget || member.out.is_empty() && now >= member.turn && !self.long(kind)
     }
 
     /// A steady rate adds up over the window of the cold rule to as much as decays with this half-life.
@@ -768,22 +767,20 @@
     }
 
     fn cold_part(&self, now: Micros, member: &Member) -> f64 {
+        let Some(started) = member.started else { return 1.0 };
         let (cold, from) = (self.number("rules.cold", 0.0), self.number("rules.cold_from", 1.0));
-        let age = member.started.map_or(cold, |started| now.saturating_sub(started) as f64);
+        let age = now.saturating_sub(started) as f64;
         if age >= cold { 1.0 } else { from + (1.0 - from) * age / cold }
     }
 
     /// Between commands of one router so that all together fill their share of one cold core's budget.
-    /// Guards against many routers that each think one command harmless, and against long reads on a server
-    /// that just started.
+    /// Guards against many routers that each think one command harmless.
     fn turns(&self, work: f64) -> Micros {
         let allowed =
             self.number("rules.fall_multiple", 1.0) * self.number("rules.cold_from", 1.0) * WARMING_SHARE;
         (self.number("routers", 1.0) * work / allowed.max(0.01)) as Micros
     }
 
-    // --- What to do after an outcome ---
-
     pub fn after(&mut self, now: Micros, held: &Held, outcome: &Outcome) -> After {
         let Some(dispatch) = held.dispatches.get(outcome.dispatch) else { return After::Ask };
         let k = held.command.command_group;
@@ -915,8 +912,6 @@
         }
     }
 
-    // --- How long to wait ---
-
     /// With a command: until `place` is to be asked about it again. Without: until the next call.
     pub fn wait(&mut self, now: Micros, held: Option<&Held>) -> Wait {
         match held {
@@ -933,7 +928,7 @@
         let Some(kind) = self.kinds.get(cmd.command_group) else { return wait };
         let out = held.dispatches.iter().enumerate().filter(|(_, d)| d.ended.is_none());
         let Some((last, sent)) = out.map(|(n, d)| (n, d.sent)).max() else {
-            wait.micros = HELD_POLL.min(left);
+            wait.micros = (now.saturating_sub(cmd.arrived) / 2).clamp(HELD_POLL, SEARCH_FOR / 2).min(left);
             return wait;
         };
         let patience = self.patience(kind);
@@ -979,7 +974,7 @@
             // Guards against routers with little traffic that cost more in probes than in commands.
             let commands = group.commands.rate(now, COPY_HALF_LIFE);
             let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
-            let paced = paced.clamp(PROBE_EVERY, PROBE_MOST);
+            let paced = if self.probes_lost_most { PROBE_MOST } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
             for server in &group.members {
                 let Some(member) = self.members.get_mut(server) else { continue };
                 if !member.serving || member.probe_out {
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,8 +39,6 @@
     /// Sent time and command group of each dispatch that is out.
     pub out: Vec<(Micros, usize)>,
     pub room: f64,
-    /// When a write or fresh read last found no room there.
-    pub wanted: Option<Micros>,
     /// When the last command was sent there, and the mean time of its kind.
     pub sent: Micros,
     pub usual: f64,
