--- a/src/balance.rs
+++ b/src/balance.rs
@@ -180,16 +180,9 @@
     firsts: Decaying,
     copies: Decaying,
     watch_due: Option<Micros>,
-    /// Members to ask for their queue now; whether they tell it at all.
+    /// Members to ask for their queue now.
     asked: Vec<usize>,
-    queues_told: bool,
-    /// Probes of late, those that timed out, and whether most do.
-    probes: Decaying,
-    probes_lost: Decaying,
-    probes_lost_most: bool,
-    /// What a told queue means for the waiting, and what each command in it adds.
-    queue_base: f64,
-    queue_step: f64,
+    seen: Seen,
 }
 
 impl Router {
@@ -208,7 +201,8 @@
             router.kinds.push(kind);
         }
         let shortest = router.kinds.iter().map(|kind| kind.response_target).min().unwrap_or(0);
-        (router.queue_base, router.queue_step) = (shortest as f64 * QUEUE_BASE, shortest as f64 * QUEUE_STEP);
+        (router.seen.queue_base, router.seen.queue_step) =
+            (shortest as f64 * QUEUE_BASE, shortest as f64 * QUEUE_STEP);
         Ok(router)
     }
 
@@ -313,12 +307,12 @@
         member.probe_out = false;
         // Guards against probes that get lost or are turned away while commands are answered: where most of them
         // fail, whoever is asked, they tell nothing of the member.
-        self.probes.add(now, PROBES_HALF_LIFE, 1.0);
+        self.seen.probes.add(now, PROBES_HALF_LIFE, 1.0);
         let lost = if end == Ending::TimedOut { 1.0 } else { 0.0 };
-        self.probes_lost.add(now, PROBES_HALF_LIFE, lost);
-        let tell = self.probes_lost.read(now, PROBES_HALF_LIFE)
-            <= FAIL_SHARE * self.probes.read(now, PROBES_HALF_LIFE);
-        self.probes_lost_most = !tell;
+        self.seen.probes_lost.add(now, PROBES_HALF_LIFE, lost);
+        let tell = self.seen.probes_lost.read(now, PROBES_HALF_LIFE)
+            <= FAIL_SHARE * self.seen.probes.read(now, PROBES_HALF_LIFE);
+        self.seen.probes_lost_most = !tell;
         match end {
             Ending::Answered => {
                 member.down = false;
@@ -353,7 +347,7 @@
             member.placed = now;
         }
         if let Some(queue) = report.queue {
-            (member.queue, member.queue_told, self.queues_told) = (queue, Some(now), true);
+            (member.queue, member.queue_told, self.seen.queues_told) = (queue, Some(now), true);
         }
         let group = member.group;
         match report.primary {
@@ -459,7 +453,7 @@
         });
         // A read that spills to its primary must not crowd out the writes there.
         let spilled = read && self.groups.get(&member.group).is_some_and(|g| g.primary == Some(server));
-        let tell = self.queues_told && !self.probes_lost_most && self.flag("limits.probes", false);
+        let tell = self.seen.queues_told && !self.seen.probes_lost_most && self.flag("limits.probes", false);
         (doubt || spilled) && tell && !told
     }
 
@@ -730,7 +724,11 @@
     /// The waiting that its latest report means; 0 without one.
     fn queued(&self, now: Micros, member: &Member) -> f64 {
         let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
-        if told && member.queue >= 0.5 { self.queue_base + member.queue * self.queue_step } else { 0.0 }
+        if told && member.queue >= 0.5 {
+            self.seen.queue_base + member.queue * self.seen.queue_step
+        } else {
+            0.0
+        }
     }
 
     fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
@@ -840,10 +838,11 @@
         let lasted = matches!(outcome.ending, Ending::Answered | Ending::TimedOut) && !long;
         if told && lasted && member.queue >= 0.5 {
             let waited = (outcome.took as f64 - kind.prompt).max(0.0);
-            let off = QUEUE_WEIGHT * (waited - self.queue_base - member.queue * self.queue_step);
+            let off = QUEUE_WEIGHT * (waited - self.seen.queue_base - member.queue * self.seen.queue_step);
             let scale = 1.0 + (member.queue * QUEUE_STEP).powi(2);
-            self.queue_base = (self.queue_base + off / scale).max(0.0);
-            self.queue_step = (self.queue_step + off * member.queue * QUEUE_STEP.powi(2) / scale).max(0.0);
+            self.seen.queue_base = (self.seen.queue_base + off / scale).max(0.0);
+            self.seen.queue_step =
+                (self.seen.queue_step + off * member.queue * QUEUE_STEP.powi(2) / scale).max(0.0);
         }
         match outcome.ending {
             Ending::Answered => {
@@ -974,7 +973,8 @@
             // Guards against routers with little traffic that cost more in probes than in commands.
             let commands = group.commands.rate(now, COPY_HALF_LIFE);
             let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
-            let paced = if self.probes_lost_most { PROBE_MOST } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
+            let paced =
+                if self.seen.probes_lost_most { PROBE_MOST } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
             for server in &group.members {
                 let Some(member) = self.members.get_mut(server) else { continue };
                 if !member.serving || member.probe_out {
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,3 +99,16 @@
     /// Answers that the mean rests on.
     pub seen: f64,
 }
+
+/// What a router has seen of all servers together.
+#[derive(Default)]
+pub(crate) struct Seen {
+    /// Some server told its queue; what a told queue means for the waiting, and what each command in it adds.
+    pub queues_told: bool,
+    pub queue_base: f64,
+    pub queue_step: f64,
+    /// Probes of late, those that timed out, and whether most do.
+    pub probes: Decaying,
+    pub probes_lost: Decaying,
+    pub probes_lost_most: bool,
+}
