Say once what the module and the adapter said twice

Whether a queue was told of late, what a refused connection means, whether a member is well or busy, whether a command is a read and whether it is overdue each stood in two to five places and now stand in one. The work answered is one sum for the router in place of one a member, so a question about a cold server no longer fades every member of the fleet; the turns for a list are computed once.

Left out: asking a member by making its probe due in place of a list beside the probes.

--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -112,9 +112,7 @@
         match self.router.after(now, &entry.held, &outcome) {
             After::Ask => self.ask(now, corr, orders),
             After::Over { recall } => {
-                for go in recall {
-                    orders.push(json!({"recall": {"i": self.number, "corr": corr, "go": go}}));
-                }
+                call_off(self.number, corr, &recall, orders);
                 self.forget_ended(corr);
             }
         }
@@ -220,9 +218,7 @@
             }
         }
         let wait = self.router.wait(now, Some(&entry.held));
-        for go in wait.recall {
-            orders.push(json!({"recall": {"i": i, "corr": corr, "go": go}}));
-        }
+        call_off(i, corr, &wait.recall, orders);
         let due = now + wait.micros.max(1);
         if entry.due != due {
             entry.due = due;
@@ -266,6 +262,13 @@
     }
 }
 
+/// Stops the wait for these dispatches of a command.
+fn call_off(i: u64, corr: u64, dispatches: &[usize], orders: &mut Vec<Json>) {
+    for go in dispatches {
+        orders.push(json!({"recall": {"i": i, "corr": corr, "go": go}}));
+    }
+}
+
 /// How a dispatch or a probe ended.
 fn ending(event: &Json) -> Result<Ending, String> {
     Ok(match text(event, "reason")? {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -109,6 +109,8 @@
 /// Parts of the room that a late answer takes and another adds while it is used: settles at one late in three.
 const ROOM_SHRINK: f64 = 0.15;
 const ROOM_GROW: f64 = 0.075;
+/// Above so many commands the steps stay as they are: a roomful of answers must not swing it.
+const ROOM_SMALL: f64 = 4.0;
 /// A report of the queue tells of a member for so long: it is part of a second old when it comes.
 const QUEUE_TELLS: Micros = 500 * MILLI;
 /// First guesses of what a told queue and each command in it mean for the waiting, in shortest response targets,
@@ -121,8 +123,6 @@
 const DOUBT_HALF_LIFE: Micros = 20 * SECOND;
 /// Part of the response target that the waiting and the answer must stay within where a queue was told.
 const IN_TIME: f64 = 0.75;
-/// Above so many commands the steps stay as they are: a roomful of answers must not swing it.
-const ROOM_SMALL: f64 = 4.0;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
 const HELD_MOST: f64 = 0.25;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
@@ -148,6 +148,17 @@
         self.waiting * (-idle / WAIT_HALF_LIFE as f64).exp2()
     }
 
+    /// The queue that it told of late.
+    fn told_queue(&self, now: Micros, of_late: Micros) -> Option<f64> {
+        self.queue_told.filter(|at| *at <= now && now <= *at + of_late).map(|_| self.queue)
+    }
+
+    /// A connection to it failed or broke.
+    fn refused(&mut self, now: Micros) {
+        self.failures.add(now, FAIL_HALF_LIFE, 1.0);
+        self.shut = Some(now);
+    }
+
     /// It sent back a read that needed no more than `bound` and has not reported progress since.
     fn fell_short(&self, now: Micros, bound: Micros) -> bool {
         self.short_of.is_some_and(|(at_most, at)| at_most + now.saturating_sub(at) <= bound)
@@ -273,8 +284,9 @@
         }
         let room = (ROOM_START / self.number("routers", 1.0)).clamp(1.0, ROOM_START_MOST);
         let shortest = self.kinds.iter().map(|kind| kind.mean).fold(f64::INFINITY, f64::min);
+        let turns = self.turns(shortest) as usize;
         for entry in entries {
-            let first_turn = self.chance.below(self.turns(shortest) as usize) as Micros;
+            let first_turn = self.chance.below(turns) as Micros;
             let group = self.groups.entry(entry.group).or_default();
             if !group.members.contains(&entry.server) {
                 group.members.push(entry.server);
@@ -307,23 +319,19 @@
         member.probe_out = false;
         // Guards against probes that get lost or are turned away while commands are answered: where most of them
         // fail, whoever is asked, they tell nothing of the member.
-        self.seen.probes.add(now, PROBES_HALF_LIFE, 1.0);
-        let lost = if end == Ending::TimedOut { 1.0 } else { 0.0 };
-        self.seen.probes_lost.add(now, PROBES_HALF_LIFE, lost);
-        let tell = self.seen.probes_lost.read(now, PROBES_HALF_LIFE)
-            <= FAIL_SHARE * self.seen.probes.read(now, PROBES_HALF_LIFE);
-        self.seen.probes_lost_most = !tell;
+        let seen = &mut self.seen;
+        seen.probes.add(now, PROBES_HALF_LIFE, 1.0);
+        seen.probes_lost.add(now, PROBES_HALF_LIFE, if end == Ending::TimedOut { 1.0 } else { 0.0 });
+        let lost = seen.probes_lost.read(now, PROBES_HALF_LIFE);
+        seen.probes_lost_most = lost > FAIL_SHARE * seen.probes.read(now, PROBES_HALF_LIFE);
         match end {
             Ending::Answered => {
                 member.down = false;
                 let ping = member.ping.unwrap_or(took as f64);
                 member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
             }
-            Ending::Unconnected | Ending::Reset => {
-                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
-                member.shut = Some(now);
-            }
-            _ => member.down = tell,
+            Ending::Unconnected | Ending::Reset => member.refused(now),
+            _ => member.down = !seen.probes_lost_most,
         }
         if let Some(report) = report {
             self.note(now, server, report, now.saturating_sub(REPORT_AGE));
@@ -391,15 +399,14 @@
         }
         let out = held.dispatches.iter().filter(|d| d.ended.is_none());
         let (out, late) = out.fold((0, 0), |(count, late), d| (count + 1, d.sent.max(late)));
+        let read = !matches!(kind.need, Need::Write | Need::Fresh);
         if out > 0 {
             // What only the primary takes gets its copy there too, but only once it seems lost: later
             // dispatches were answered, and more time has passed than a slow answer takes.
             let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
             let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
                 && held.dispatches.iter().any(proved);
-            let elsewhere = !matches!(kind.need, Need::Write | Need::Fresh);
-            let copy = (elsewhere && kind.effect == Effect::Replayable
-                || lost && kind.effect != Effect::Mutating)
+            let copy = (read && kind.effect == Effect::Replayable || lost && kind.effect != Effect::Mutating)
                 && out == 1
                 && self.flag("limits.second_copies", false)
                 && now >= late + self.patience(&kind)
@@ -419,24 +426,22 @@
         if kind.late_benefit <= 0.0 && waited >= kind.response_target && out == 0 {
             return self.give_up(held, &kind);
         }
-        let server = match kind.need {
-            Need::Write | Need::Fresh => self.write_target(now, held, &kind),
-            _ => self.read_target(now, held, &kind),
-        };
+        let server =
+            if read { self.read_target(now, held, &kind) } else { self.write_target(now, held, &kind) };
+        let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST;
         let Some(server) = server else {
             let spent = kind.need != Need::Write && failed(held) >= READ_TRIES;
             // Only room is missing where there is a well primary; a read may go to any member.
             let primary = self.groups.get(&cmd.group).and_then(|group| group.primary);
-            let there = |server| self.well(now, server) || self.busy(now, server);
-            let room = kind.need != Need::Write || primary.is_some_and(there);
-            let overdue = room && waited as f64 > kind.response_target as f64 * HELD_MOST;
-            return if out == 0 && (spent || overdue) { self.give_up(held, &kind) } else { Place::NotYet };
+            let room = kind.need != Need::Write || primary.is_some_and(|server| self.there(now, server));
+            return if out == 0 && (spent || overdue && room) {
+                self.give_up(held, &kind)
+            } else {
+                Place::NotYet
+            };
         };
         // Guards against hundreds of routers that each learn too little from their own commands to see a queue.
-        let read = !matches!(kind.need, Need::Write | Need::Fresh);
-        let ask =
-            waited as f64 <= kind.response_target as f64 * HELD_MOST && self.doubtful(now, server, read);
-        if ask && out == 0 {
+        if out == 0 && !overdue && self.doubtful(now, server, read) {
             self.asked.push(server);
             return Place::NotYet;
         }
@@ -446,15 +451,14 @@
     /// Where members tell their queue and many commands were late, one is asked unless it told of late.
     fn doubtful(&self, now: Micros, server: usize, read: bool) -> bool {
         let member = &self.members[&server];
-        let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
-        let doubt = self.groups.get(&member.group).is_some_and(|group| {
-            // A few outcomes more, or one late answer would tell for as long as no other comes.
-            group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * (group.outcomes.read(now, DOUBT_HALF_LIFE) + 2.0)
-        });
+        let Some(group) = self.groups.get(&member.group) else { return false };
+        // A few outcomes more, or one late answer would tell for as long as no other comes.
+        let outcomes = group.outcomes.read(now, DOUBT_HALF_LIFE) + 2.0;
+        let doubt = group.bad.read(now, DOUBT_HALF_LIFE) > DOUBT * outcomes;
         // A read that spills to its primary must not crowd out the writes there.
-        let spilled = read && self.groups.get(&member.group).is_some_and(|g| g.primary == Some(server));
+        let spilled = read && group.primary == Some(server);
         let tell = self.seen.queues_told && !self.seen.probes_lost_most && self.flag("limits.probes", false);
-        (doubt || spilled) && tell && !told
+        (doubt || spilled) && tell && member.told_queue(now, QUEUE_TELLS).is_none()
     }
 
     /// The once-only rule, the dispatch limit and the window of keyed commands.
@@ -524,24 +528,19 @@
     /// Writes and fresh reads: the known primary; without one, members in turn, waiting after a round.
     fn write_target(&mut self, now: Micros, held: &Held, kind: &Kind) -> Option<usize> {
         let group = self.groups.get(&held.command.group)?;
-        let busy = |server: &usize| self.well(now, *server) || self.busy(now, *server);
-        if let Some(primary) = group.primary.filter(busy) {
-            return self.has_room(now, primary, kind, 1.0).then_some(primary);
-        }
         let max = self.number("limits.max_dispatches", 1.0) as usize;
-        // The last dispatch is kept for a primary that shows up.
-        let again = group.primary.filter(|s| held.dispatches.len() + 1 < max && self.only_shut(now, *s));
-        if let Some(primary) = again {
+        // Where it refuses connections, the last dispatch is kept for a primary that shows up.
+        let again = |s: usize| held.dispatches.len() + 1 < max && self.only_shut(now, s);
+        if let Some(primary) = group.primary.filter(|s| self.there(now, *s) || again(*s)) {
             return self.has_room(now, primary, kind, 1.0).then_some(primary);
         }
         // A member that does not check would answer a fresh read from what it has.
         if kind.need == Need::Fresh && !self.guarded() {
             return None;
         }
-        if let Some(group) = self.groups.get_mut(&held.command.group) {
-            group.sought = Some(now);
-        }
-        let group = self.groups.get(&held.command.group)?;
+        let group = self.groups.get_mut(&held.command.group)?;
+        group.sought = Some(now);
+        let group = &self.groups[&held.command.group];
         // The last dispatches are kept for a primary that shows up.
         if held.dispatches.len() >= (max / 2).max(1) {
             return None;
@@ -700,10 +699,15 @@
         member.serving && !member.down && !silent && !failing && !shut
     }
 
+    /// Well, or busy, which its probes may tell though it is silent.
+    fn there(&self, now: Micros, server: usize) -> bool {
+        self.well(now, server) || self.busy(now, server)
+    }
+
     /// Silent for its queue alone, of which it told since. Guards against taking an overloaded member for a
     /// stopped one: writes would be sent back by the others, and reads run again elsewhere.
     fn busy(&self, now: Micros, server: usize) -> bool {
-        let told = |m: &Member| m.queue_told.is_some_and(|at| now <= at + 2 * QUEUE_TELLS) && m.queue >= 1.0;
+        let told = |m: &Member| m.told_queue(now, 2 * QUEUE_TELLS).is_some_and(|queue| queue >= 1.0);
         self.members.get(&server).is_some_and(|m| m.serving && told(m))
     }
 
@@ -723,12 +727,8 @@
 
     /// The waiting that its latest report means; 0 without one.
     fn queued(&self, now: Micros, member: &Member) -> f64 {
-        let told = member.queue_told.is_some_and(|at| now <= at + QUEUE_TELLS);
-        if told && member.queue >= 0.5 {
-            self.seen.queue_base + member.queue * self.seen.queue_step
-        } else {
-            0.0
-        }
+        let queue = member.told_queue(now, QUEUE_TELLS).filter(|queue| *queue >= 0.5);
+        queue.map_or(0.0, |queue| self.seen.queue_base + queue * self.seen.queue_step)
     }
 
     fn has_room(&self, now: Micros, server: usize, kind: &Kind, share: f64) -> bool {
@@ -750,7 +750,7 @@
             return true;
         }
         let window = self.number("rules.fall_for", 0.0);
-        let answered: f64 = self.members.values().map(|m| m.work.rate(now, WORK_HALF_LIFE)).sum();
+        let answered = self.seen.work.rate(now, WORK_HALF_LIFE);
         let size: f64 = self.members.values().map(|m| m.size).sum();
         let rate = answered / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
@@ -833,16 +833,15 @@
                 group.bad.add(now, DOUBT_HALF_LIFE, 1.0);
             }
         }
-        let told =
-            member.queue_told.is_some_and(|at| at <= dispatch.sent && dispatch.sent <= at + QUEUE_TELLS);
         let lasted = matches!(outcome.ending, Ending::Answered | Ending::TimedOut) && !long;
-        if told && lasted && member.queue >= 0.5 {
+        let queue = member.told_queue(dispatch.sent, QUEUE_TELLS).filter(|queue| lasted && *queue >= 0.5);
+        if let Some(queue) = queue {
+            let seen = &mut self.seen;
             let waited = (outcome.took as f64 - kind.prompt).max(0.0);
-            let off = QUEUE_WEIGHT * (waited - self.seen.queue_base - member.queue * self.seen.queue_step);
-            let scale = 1.0 + (member.queue * QUEUE_STEP).powi(2);
-            self.seen.queue_base = (self.seen.queue_base + off / scale).max(0.0);
-            self.seen.queue_step =
-                (self.seen.queue_step + off * member.queue * QUEUE_STEP.powi(2) / scale).max(0.0);
+            let off = QUEUE_WEIGHT * (waited - seen.queue_base - queue * seen.queue_step);
+            let scale = 1.0 + (queue * QUEUE_STEP).powi(2);
+            seen.queue_base = (seen.queue_base + off / scale).max(0.0);
+            seen.queue_step = (seen.queue_step + off * queue * QUEUE_STEP.powi(2) / scale).max(0.0);
         }
         match outcome.ending {
             Ending::Answered => {
@@ -852,7 +851,7 @@
                 // Guards against a router with thin traffic that takes one slow answer for the usual.
                 kind.seen += 1.0;
                 kind.mean += (1.0 / (kind.seen + USUAL_SEEN)).max(USUAL_WEIGHT) * (took - kind.mean);
-                member.work.add(now, WORK_HALF_LIFE, kind.mean);
+                self.seen.work.add(now, WORK_HALF_LIFE, kind.mean);
                 let waited = (took - kind.prompt).max(0.0);
                 // Long reads differ too much in their work to tell how long others wait.
                 if !long {
@@ -885,11 +884,14 @@
                 // against its member until another member errs on the same command.
                 let erred = |d: &&Dispatch| d.ended == Some(Ending::Errored) && d.server != dispatch.server;
                 let mut others = held.dispatches.iter().filter(erred);
-                let (other, more) = (others.next(), others.next().is_some());
-                let amount = if other.is_some() { -1.0 } else { 1.0 };
-                let server = other.map_or(dispatch.server, |d| d.server);
-                if let Some(member) = self.members.get_mut(&server).filter(|_| !more) {
-                    member.failures.add(now, FAIL_HALF_LIFE, amount);
+                match (others.next(), others.next()) {
+                    (None, _) => member.failures.add(now, FAIL_HALF_LIFE, 1.0),
+                    (Some(first), None) => {
+                        if let Some(member) = self.members.get_mut(&first.server) {
+                            member.failures.add(now, FAIL_HALF_LIFE, -1.0);
+                        }
+                    }
+                    _ => {}
                 }
             }
             Ending::TimedOut if member.answered_at < dispatch.sent => {
@@ -897,10 +899,7 @@
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
                 member.down = true;
             }
-            Ending::Unconnected | Ending::Reset => {
-                member.failures.add(now, FAIL_HALF_LIFE, 1.0);
-                member.shut = Some(now);
-            }
+            Ending::Unconnected | Ending::Reset => member.refused(now),
             // Guards against taking lost answers for a queue: where later ones were answered, room stays.
             Ending::TimedOut | Ending::Recalled
                 if member.proved <= dispatch.sent && outcome.took as f64 > target * ROOM_WAIT =>
@@ -937,13 +936,7 @@
         let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
         let again = held.dispatches.len() < READ_TRIES && self.may_copy(now);
         let server = held.dispatches[last].server;
-        if alone
-            && read
-            && again
-            && now >= sent + patience
-            && !self.well(now, server)
-            && !self.busy(now, server)
-        {
+        if alone && read && again && now >= sent + patience && !self.there(now, server) {
             wait.recall.push(last);
         }
         wait
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,7 +15,7 @@
     /// Latest evidence for and against its being the primary.
     pub claimed: Option<Micros>,
     pub denied: Option<Micros>,
-    /// Known position, when it was known, and how far behind the clock it stood then.
+    /// Known position, and when it was last told.
     pub position: Micros,
     pub placed: Micros,
     /// Where and when a read was missed: it stood short of this then.
@@ -44,8 +44,7 @@
     pub usual: f64,
     /// While it is cold: when this router's next turn comes to send it a command.
     pub turn: Micros,
-    /// Work answered, for its usual rate, and sent within the window of the cold rule.
-    pub work: Decaying,
+    /// Work sent within the window of the cold rule.
     pub sent_work: Decaying,
 }
 
@@ -111,4 +110,6 @@
     pub probes: Decaying,
     pub probes_lost: Decaying,
     pub probes_lost_most: bool,
+    /// Work answered, for its usual rate.
+    pub work: Decaying,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -166,13 +166,15 @@
         sent.count()
     }
 
-    /// Ten commands of this group are answered in so long each.
-    pub fn answers_take(&mut self, command_group: usize, took: Micros) {
-        for _ in 0..10 {
+    /// So many commands of this group are answered in so long each: how many each member got.
+    pub fn answered(&mut self, command_group: usize, count: usize, took: Micros) -> Vec<usize> {
+        let mut seen = vec![0; self.entries.len()];
+        for _ in 0..count {
             let mut held = self.command(command_group);
-            self.sent(&mut held);
+            seen[self.sent(&mut held)] += 1;
             self.end(&mut held, Ending::Answered, took);
         }
+        seen
     }
 
     /// The command's last dispatch ends so, after `took`.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -56,12 +56,7 @@
     for (server, ping) in [(0, 1), (1, 1), (2, 10), (3, 400)] {
         store.probe(server, ping * MS, server == 0, 0);
     }
-    let mut seen = [0; 4];
-    for _ in 0..60 {
-        let mut held = store.command(ANY);
-        seen[store.sent(&mut held)] += 1;
-        store.end(&mut held, Ending::Answered, 20 * MS);
-    }
+    let seen = store.answered(ANY, 60, 20 * MS);
     assert!(seen[1] > 10 && seen[2] > 10 && seen[0] == 0 && seen[3] == 0, "{seen:?}");
 }
 
@@ -127,7 +122,7 @@
 fn long_reads_leave_the_fresh_replicas_alone() {
     // Guards against reports on every replica, which keep all of them from applying the log.
     let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
-    store.answers_take(ANY, 700 * MS);
+    store.answered(ANY, 10, 700 * MS);
     for _ in 0..6 {
         let mut held = store.command(ANY);
         assert_eq!(store.sent(&mut held), 2);
@@ -139,7 +134,7 @@
 fn the_most_advanced_replica_takes_no_long_reads() {
     // Guards against long reads that spill over onto the last replica that can serve bounded ones.
     let mut store = Store::behind(&[], &[0, 50 * MS, 700 * MS], 0);
-    store.answers_take(ANY, 700 * MS);
+    store.answered(ANY, 10, 700 * MS);
     store.now += 10 * MS;
     let mut taken = 0;
     while let Place::Dispatch { server, .. } = store.router.place(store.now, &store.command(ANY)) {
@@ -565,12 +560,7 @@
     store.sent(&mut first);
     store.end(&mut first, Ending::Answered, 700 * MS);
     store.now += 30_000 * MS;
-    let mut seen = [0; 3];
-    for _ in 0..20 {
-        let mut held = store.command(ANY);
-        seen[store.sent(&mut held)] += 1;
-        store.end(&mut held, Ending::Answered, 20 * MS);
-    }
+    let seen = store.answered(ANY, 20, 20 * MS);
     assert!(seen[1] > 0 && seen[2] > 0, "{seen:?}");
 }
 
@@ -587,12 +577,7 @@
                 store.end(&mut held, Ending::Errored, MS);
             }
         }
-        let mut seen = [0; 3];
-        for _ in 0..20 {
-            let mut held = store.command(ANY);
-            seen[store.sent(&mut held)] += 1;
-            store.end(&mut held, Ending::Answered, 20 * MS);
-        }
+        let seen = store.answered(ANY, 20, 20 * MS);
         assert_eq!(seen[1] == 0, left, "{members} members: {seen:?}");
     }
 }
