Take up a new discovery at SIGHUP instead of ending

Now the configuration is read and checked anew; a faulty one is named and the old one stays. The address of discovery, the peers and the limit of sockets are taken up while all connections, commands and evidence stay. Another address may number its lists otherwise, so the whole list is asked for there first. A connection to discovery that does not open within 1 s is given up, instead of 6.5 s.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,8 @@
 /// An idle connection to a server is closed after this part of the time that the settings give it, so that the
 /// server's own closing does not cross a statement.
 const IDLE_PART: f64 = 0.8;
+/// How long opening a connection to discovery may take, which listens on this machine.
+const WATCH_OPENS: Micros = 1_000_000;
 /// Discovery writes every 2 s; after three beats without one it is asked anew.
 const WATCH_SILENCE: Micros = 6_500_000;
 /// Between attempts to reach discovery: the first pause, and the longest.
@@ -52,6 +54,7 @@
 /// The connection to discovery and what it has brought.
 struct Watch {
     connection: Option<(Rc<TcpStream>, RegistrationToken, Answer)>,
+    /// The last list's at this address; None: the whole list is asked for first.
     version: Option<u64>,
     pause: Micros,
     /// When it is asked anew if nothing comes before.
@@ -78,6 +81,8 @@
     router_due: Micros,
     /// Numbers for connections and commands; none is used twice.
     last: u64,
+    /// A list has come: empty queries are answered.
+    ready: bool,
     stopping: bool,
     /// The listen queue was left as it was for want of a descriptor.
     queue_waits: bool,
@@ -101,6 +106,7 @@
             resume: VecDeque::new(),
             router_due: 0,
             last: 0,
+            ready: false,
             stopping: false,
             queue_waits: false,
             deployment,
@@ -181,7 +187,7 @@
 
     /// Takes a client's next messages until one is in hand.
     fn serve_client(&mut self, key: u64) {
-        let ready = self.watch.version.is_some();
+        let ready = self.ready;
         while let Some(client) = self.clients.get(key) {
             match client.next(ready) {
                 Next::Wait => break,
@@ -559,7 +565,7 @@
             Ok((stream, token)) => {
                 let answer = Answer::new(address, self.watch.version);
                 self.watch.connection = Some((stream, token, answer));
-                self.watch_due(now + WATCH_SILENCE);
+                self.watch_due(now + WATCH_OPENS);
             }
             Err(error) => {
                 say!("discovery: {error}");
@@ -593,8 +599,10 @@
                 false => Ok(true),
             })
         };
-        if readiness.readable && read.is_ok() {
-            self.watch.pause = WATCH_AGAIN;
+        if read.is_ok() {
+            if readiness.readable {
+                self.watch.pause = WATCH_AGAIN;
+            }
             self.watch_due(now + WATCH_SILENCE);
         }
         let fresh = !lists.is_empty();
@@ -621,8 +629,8 @@
         if self.watch.version.is_some_and(|version| list.version < version) {
             return;
         }
-        if self.watch.version.replace(list.version).is_none() {
-            // Ready from now on: empty queries are answered.
+        self.watch.version = Some(list.version);
+        if !std::mem::replace(&mut self.ready, true) {
             self.resume.extend(self.clients.keys());
         }
         let mut entries = Vec::new();
@@ -747,6 +755,26 @@
         }
     }
 
+    /// SIGHUP: the configuration was read anew. What can change without a loss is taken up, at once; all else counts
+    /// from the next start.
+    pub fn reload(&mut self, read: Result<Deployment, String>) {
+        let new = match read {
+            Ok(new) => new,
+            Err(message) => {
+                say!("the configuration stays as it was: {message}");
+                return;
+            }
+        };
+        (self.deployment.sockets, self.deployment.peers) = (new.sockets, new.peers);
+        if new.discovery != self.deployment.discovery {
+            say!("discovery is at {} from now on", new.discovery);
+            self.deployment.discovery = new.discovery;
+            // Another address may number its lists otherwise. Until it tells its own, the last one stays in force.
+            (self.watch.version, self.watch.pause) = (None, WATCH_AGAIN);
+            self.ask_discovery();
+        }
+    }
+
     pub fn is_over(&self) -> bool {
         self.listener.is_none() && self.clients.count() == 0
     }
--- a/crates/gateway/src/run/cli.rs
+++ b/crates/gateway/src/run/cli.rs
@@ -17,7 +17,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve clients until told to stop by SIGTERM.
+    /// Serve clients until told to stop by SIGTERM; SIGHUP has the configuration read anew.
     Serve(Source),
     /// Read the configuration as `serve` does, and say what is wrong with it.
     Check(Source),
@@ -34,7 +34,7 @@
 
 pub fn main() -> ExitCode {
     let done = match Line::parse().command {
-        Command::Serve(source) => Deployment::read(source.config.as_deref()).and_then(serve),
+        Command::Serve(source) => serve(source.config),
         Command::Check(source) => Deployment::read(source.config.as_deref()).map(|deployment| {
             println!(
                 "{}: listens on {}, {} command groups, {} servers known",
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -1,10 +1,11 @@
 //! One thread, one loop: from the start to the last answer after SIGTERM.
 
 use std::net::UdpSocket;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use calloop::generic::Generic;
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Event, Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
 
 use crate::gateway::Gateway;
@@ -15,13 +16,19 @@
 /// Longest datagram between gateways.
 const DATAGRAM_MOST: usize = 256;
 
-pub fn serve(deployment: Deployment) -> Result<(), String> {
+/// Serves as the configuration at `path`, or the one that the environment names, says.
+pub fn serve(path: Option<PathBuf>) -> Result<(), String> {
+    let deployment = Deployment::read(path.as_deref())?;
     let text = |what: &'static str| move |error: calloop::Error| format!("{what}: {error}");
     let mut events: EventLoop<Gateway> = EventLoop::try_new().map_err(text("loop"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(text("signals"))?;
-    let stop = |_, _: &mut _, gateway: &mut Gateway| gateway.stop();
-    handle.insert_source(signals, stop).map_err(|error| format!("signals: {error}"))?;
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(text("signals"))?;
+    let told = move |event: Event, _: &mut _, gateway: &mut Gateway| match event.signal() {
+        Signal::SIGHUP => gateway.reload(Deployment::read(path.as_deref())),
+        _ => gateway.stop(),
+    };
+    handle.insert_source(signals, told).map_err(|error| format!("signals: {error}"))?;
     if let Some(address) = deployment.peer_listen {
         let socket = UdpSocket::bind(address).map_err(|error| format!("'peer_listen' {address}: {error}"))?;
         socket.set_nonblocking(true).map_err(|error| format!("'peer_listen' {address}: {error}"))?;
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -225,8 +225,8 @@
     let (mut busy, mut open) = (gateway.client(), gateway.client());
     busy.send(&write(1));
     until("the write at the primary", || primary.asked().len() == 1);
-    gateway.terminate();
-    gateway.terminate();
+    gateway.signal("TERM");
+    gateway.signal("TERM");
     assert!(matches!(open.query(&read(2)), Reply::Value(_)));
     assert!(matches!(gateway.client().query(&read(3)), Reply::Value(_)));
     assert_eq!(busy.reply(), Reply::Value(b"late".to_vec()));
@@ -234,6 +234,35 @@
     assert!(gateway.ended());
 }
 
+/// Guards against SIGHUP ending the gateway, and against a list that is not believed because another discovery numbers
+/// its lists lower.
+#[test]
+fn after_sighup_a_new_discovery_is_followed_and_nothing_is_lost() {
+    let late = Does::AnswersLate(b"late".to_vec(), Duration::from_millis(900));
+    let (primary, replica) = (Server::start(true, vec![late]), Server::start(false, vec![value()]));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let (mut busy, mut open) = (gateway.client(), gateway.client());
+    busy.send(&write(1));
+    until("the write at the primary", || primary.asked().len() == 1);
+    gateway.reload("nowhere");
+    assert!(matches!(open.query(&read(2)), Reply::Value(_)));
+    for (version, health) in [(0, "draining"), (5, "up"), (3, "draining")] {
+        let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, health, false)];
+        let (another, _changes) = discovery(list(version, true, &entries));
+        gateway.reload(&another.to_string());
+        let mut id = 100 * (version as u32 + 1);
+        until("reads where the new list has them", || {
+            id += 1;
+            let before = replica.asked().len();
+            open.send(&read(id));
+            let answered = open.reply();
+            assert!(matches!(answered, Reply::Value(_)), "{answered:?}");
+            (replica.asked().len() > before) == (health == "up")
+        });
+    }
+    assert_eq!(busy.reply(), Reply::Value(b"late".to_vec()));
+}
+
 #[test]
 fn the_command_line_names_what_is_wrong() {
     let run = |arguments: &[&str]| {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -198,6 +198,7 @@
 pub mod sockets {
     use std::io::{Read, Write};
     use std::net::{SocketAddr, TcpListener, TcpStream};
+    use std::path::PathBuf;
     use std::process::{Child, Command, Stdio};
     use std::sync::atomic::{AtomicUsize, Ordering};
     use std::sync::{Arc, Mutex, mpsc};
@@ -365,18 +366,15 @@
     pub struct Gateway {
         pub address: SocketAddr,
         child: Child,
+        config: PathBuf,
     }
 
     impl Gateway {
         /// Starts the program as `run` would, on a port that was free a moment ago, and waits until it serves.
         pub fn start(program: &str, discovery: SocketAddr) -> Self {
             let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
-            let config = format!(
-                r#"{{"name":"n0","listen":"{free}","discovery":"{discovery}","seed":"2a",
-                "limits":{{"sockets":64}},"settings":{SETTINGS}}}"#
-            );
             let path = std::env::temp_dir().join(format!("tansyjunction-{}.json", free.port()));
-            std::fs::write(&path, config).expect("a file");
+            std::fs::write(&path, Gateway::config(free, &discovery.to_string())).expect("a file");
             let child = Command::new(program)
                 .args(["serve", "--config"])
                 .arg(&path)
@@ -384,12 +382,25 @@
                 .spawn()
                 .expect("the program starts");
             until("the listener", || TcpStream::connect(free).is_ok());
-            let gateway = Gateway { address: free, child };
+            let gateway = Gateway { address: free, child, config: path };
             let mut client = gateway.client();
             assert_eq!(client.query(""), Reply::Empty);
             gateway
         }
 
+        fn config(listen: SocketAddr, discovery: &str) -> String {
+            format!(
+                r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"2a",
+                "limits":{{"sockets":64}},"settings":{SETTINGS}}}"#
+            )
+        }
+
+        /// Names another discovery in the configuration and has it read anew.
+        pub fn reload(&self, discovery: &str) {
+            std::fs::write(&self.config, Gateway::config(self.address, discovery)).expect("a file");
+            self.signal("HUP");
+        }
+
         pub fn client(&self) -> Client {
             let mut stream = TcpStream::connect(self.address).expect("the gateway listens");
             stream.set_read_timeout(Some(BOUND)).expect("a bound");
@@ -399,8 +410,8 @@
             client
         }
 
-        pub fn terminate(&self) {
-            let sent = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+        pub fn signal(&self, name: &str) {
+            let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
             assert!(sent.expect("a shell").success());
         }
 
