Check the inside of answers, and take a spoilt one for an error of the command

A trace of what came (not kept) shows noise, values of 3 GB, messages whose length is 2, 9 or below zero, and rows whose value does not fit; they come from all servers alike, about one in forty answers. Second copies and noise behind good answers were already taken well, only the load reports that can't be read ('%%%', '=,=') were taken in part.

At fault: hear_line told nonsense as a reset, which shuts a server for 2 s, so that within a second all were shut; Talk::hear looked at no length inside a row. Ruled out: descriptors (173 of 384) and CPU (0.04 of a core).

Now a spoilt answer is an error of its command: it may have run, a read goes on elsewhere, and the server stays. Row, column and tag are checked; what was said along with nonsense is no evidence. A probe that never left for want of a descriptor, or brought nonsense, takes no member out.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -456,14 +456,36 @@
                     }
                 }
                 Heard::Nothing if !line.ended => return,
-                Heard::Nothing | Heard::Nonsense => {
+                Heard::Nothing => {
                     self.end_line(key, Ending::Reset);
                     return;
                 }
+                Heard::Nonsense => {
+                    self.spoilt(key);
+                    return;
+                }
             }
         }
     }
 
+    /// What came makes no sense: the connection is of no more use, but nothing is known against its server. What was
+    /// said along with it does not count, a good answer before it does. Guards against spoilt answers that shut one
+    /// server after the other.
+    fn spoilt(&mut self, key: u64) {
+        let Some(line) = self.servers.get(key) else { return };
+        let started = matches!(line.talk.phase, Phase::Ready | Phase::Busy);
+        if started && line.talk.said.ending.is_none() {
+            say!("what a server said makes no sense");
+            line.talk.said = Said::default();
+        }
+        let ending = match line.job {
+            _ if !started => Ending::Reset,
+            Some(Job::Probe) => Ending::Recalled,
+            _ => Ending::Errored,
+        };
+        self.end_line(key, ending);
+    }
+
     /// Writes the statement of a connection's job.
     fn write_job(&mut self, key: u64) {
         let now = self.clock.now();
--- a/crates/gateway/src/wire/frames.rs
+++ b/crates/gateway/src/wire/frames.rs
@@ -59,22 +59,37 @@
     Some((name, text(rest)?.0))
 }
 
-/// The code of an ErrorResponse.
+/// The code of an ErrorResponse; None: its fields don't fit it, or none is a code.
 pub fn error_code(mut body: &[u8]) -> Option<&str> {
+    let mut code = None;
     while let Some((field, rest)) = body.split_first().filter(|(field, _)| **field != 0) {
         let (value, rest) = text(rest)?;
         if *field == b'C' {
-            return Some(value);
+            code = Some(value);
         }
         body = rest;
     }
-    None
+    code.filter(|_| body == [0])
 }
 
-/// The first column of a DataRow as text.
-pub fn column(body: &[u8]) -> Option<&str> {
-    let length = number(body.get(2..)?)? as usize;
-    std::str::from_utf8(body.get(6..)?.get(..length)?).ok()
+/// Whether a RowDescription tells of one column and of nothing more.
+pub fn is_one_column(body: &[u8]) -> bool {
+    // Behind the name: table, place in it, type, its size and modifier, format.
+    let about = body.strip_prefix(&[0, 1]).and_then(text);
+    about.is_some_and(|(_, about)| about.len() == 18)
+}
+
+/// The value of a DataRow of one column, empty where it is NULL; None: its lengths don't fit.
+pub fn column(body: &[u8]) -> Option<&[u8]> {
+    let rest = body.strip_prefix(&[0, 1])?;
+    let (length, value) = (number(rest)?, &rest[4..]);
+    let fits = length as usize == value.len() || length == u32::MAX && value.is_empty();
+    fits.then_some(value)
+}
+
+/// Whether a CommandComplete ends a statement that gave one row.
+pub fn is_one_row(body: &[u8]) -> bool {
+    matches!(body, b"SELECT 1\0" | b"INSERT 0 1\0" | b"SHOW\0")
 }
 
 /// An ErrorResponse; `detail` goes into field D.
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -12,8 +12,10 @@
 use crate::wire::bytes::{Inbox, Outbox, Reading};
 use crate::wire::frames;
 
-/// A value of 64 KiB with what stands round it; more is nonsense.
-const MESSAGES_MOST: usize = 4 * 65_536;
+/// A value of 64 KiB with its head; a longer message is nonsense.
+const MESSAGE_MOST: usize = 65_536 + 256;
+/// A whole answer: one such message, and the short ones round it.
+const ANSWER_MOST: usize = 65_536 + 8_192;
 /// Beyond this no server's figure makes sense (as a Unix time in milliseconds: in the year 5138).
 const FAR: u64 = 100_000_000_000_000;
 
@@ -88,7 +90,7 @@
     /// Looks at the next messages, up to one that matters.
     pub fn hear(&mut self, now: Micros) -> Heard {
         loop {
-            let (kind, length) = match frames::first(&self.inbox.rest()[self.looked..], MESSAGES_MOST) {
+            let (kind, length) = match frames::first(&self.inbox.rest()[self.looked..], MESSAGE_MOST) {
                 Ok(Some(first)) => first,
                 Ok(None) => return Heard::Nothing,
                 Err(_) => return Heard::Nonsense,
@@ -112,15 +114,21 @@
                     return Heard::Nonsense;
                 }
                 (Phase::Busy, b'E') if self.said.ending.is_none() => {
-                    self.said.ending = Some(frames::error_code(body).map_or(Ending::Errored, ending_of));
+                    let Some(code) = frames::error_code(body) else { return Heard::Nonsense };
+                    self.said.ending = Some(ending_of(code));
                     self.said.at = Some(now);
                 }
-                (Phase::Busy, b'T') if self.answer.is_empty() => self.answer.push(here),
+                (Phase::Busy, b'T') if self.answer.is_empty() && frames::is_one_column(body) => {
+                    self.answer.push(here)
+                }
                 (Phase::Busy, b'D') if self.answer.len() == 1 => {
-                    self.said.row = frames::column(body).and_then(report);
+                    let Some(value) = frames::column(body) else { return Heard::Nonsense };
+                    self.said.row = std::str::from_utf8(value).ok().and_then(report);
                     self.answer.push(here);
                 }
-                (Phase::Busy, b'C') if self.answer.len() == 2 && self.said.ending.is_none() => {
+                (Phase::Busy, b'C')
+                    if self.answer.len() == 2 && self.said.ending.is_none() && frames::is_one_row(body) =>
+                {
                     self.answer.push(here);
                     self.said.ending = Some(Ending::Answered);
                     self.said.at = Some(now);
@@ -180,7 +188,7 @@
 
     /// Reads what is there.
     pub fn read(&mut self) {
-        self.ended |= self.talk.inbox.read(&self.stream, MESSAGES_MOST) != Reading::Dry;
+        self.ended |= self.talk.inbox.read(&self.stream, ANSWER_MOST) != Reading::Dry;
     }
 
     /// Whether an idle connection is still good: nothing was said, and the server has not ended it.
@@ -226,14 +234,12 @@
     }
 }
 
-/// A load report; None: it names nothing known.
+/// A load report; None: it names nothing known, or holds what can't be read, so that the rest is no evidence either.
 fn report(text: &str) -> Option<Report> {
     let mut report = Report::default();
     for part in text.split(',') {
-        let Some((name, value)) = part.split_once('=') else { continue };
-        let Some(value) = value.trim().parse::<f64>().ok().filter(|value| value.abs() < FAR as f64) else {
-            continue;
-        };
+        let (name, value) = part.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|value| value.abs() < FAR as f64)?;
         match name.trim() {
             // Seconds of Unix time.
             "x0" => report.position = Some((value.clamp(0.0, FAR as f64 / 1e3) * 1e6) as Micros),
@@ -254,11 +260,13 @@
         [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
     }
 
+    /// One column named v.
+    const COLUMN: &[u8] = b"\0\x01v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+
     #[test]
     fn an_exchange_is_heard_the_same_however_it_is_split() {
-        let row =
-            [message(b'T', b"\0\x01"), message(b'D', b"\0\x01\0\0\0\x02hi"), message(b'C', b"SELECT 1\0")]
-                .concat();
+        let row = [message(b'T', COLUMN), message(b'D', b"\0\x01\0\0\0\x02hi"), message(b'C', b"SELECT 1\0")]
+            .concat();
         let told = [message(b'S', b"recovery\0off\0"), message(b'S', b"lsn_ms\x001767225600123\0")].concat();
         let health = message(b'S', b"health\0x0=1767225600.5,x1=0,pending=3\0");
         let bytes = [row.clone(), told, health, message(b'Z', b"I")].concat();
@@ -301,7 +309,9 @@
             ("x0=1767225600.5,queue=2", Some(1_767_225_600_500_000), Some(2.0)),
             ("x0=nan,queue=inf", None, None),
             ("x0=1e300,queue=-1e300", None, None),
-            ("x0=-5,queue=x", Some(0), None),
+            ("x0=-5", Some(0), None),
+            ("x0=1767225600.5,queue=x", None, None),
+            ("%%%,queue=2", None, None),
             ("x0=9e13", Some(FAR * 1_000), None),
         ] {
             let report = report(text).unwrap_or_default();
@@ -340,7 +350,13 @@
     #[test]
     fn what_comes_back_tells_how_a_dispatch_ended() {
         let error = |code: &str| message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
-        let row = message(b'T', b"\0\x01");
+        let row = message(b'T', COLUMN);
+        let answer = |columns: &[u8], value: &[u8], tag: &[u8]| {
+            [message(b'T', columns), message(b'D', value), message(b'C', tag)].concat()
+        };
+        let (one, done) = (&b"\0\x01\0\0\0\x02hi"[..], &b"SELECT 1\0"[..]);
+        let whole = answer(COLUMN, one, done);
+        let parts = vec![0..row.len(), row.len()..whole.len() - 14, whole.len() - 14..whole.len()];
         for (what, said, heard, ending) in [
             ("a write at a replica", error("25006"), Heard::Done, Some(Ending::Missed)),
             ("too far behind", error("72000"), Heard::Done, Some(Ending::Missed)),
@@ -352,7 +368,29 @@
             ("an answer without a row", [row, message(b'C', b"SELECT 0\0")].concat(), Heard::Nonsense, None),
             ("a length below its own", b"E\0\0\0\x01".to_vec(), Heard::Nonsense, None),
             ("a length beyond all", b"E\x7f\0\0\x01".to_vec(), Heard::Nonsense, None),
-            ("an empty error", message(b'E', b""), Heard::Done, Some(Ending::Errored)),
+            ("an empty error", message(b'E', b""), Heard::Nonsense, None),
+            ("an error without an end", message(b'E', b"C53300\0"), Heard::Nonsense, None),
+            ("an answer", whole.clone(), Heard::Answer(parts), Some(Ending::Answered)),
+            ("a row described as two", answer(b"\0\x02", one, done), Heard::Nonsense, None),
+            ("a description cut short", answer(&COLUMN[..15], one, done), Heard::Nonsense, None),
+            ("two columns", answer(COLUMN, b"\0\x02\0\0\0\x02hi", done), Heard::Nonsense, None),
+            (
+                "a value longer than its row",
+                answer(COLUMN, b"\0\x01\0\0\0\x03hi", done),
+                Heard::Nonsense,
+                None,
+            ),
+            (
+                "a value shorter than its row",
+                answer(COLUMN, b"\0\x01\0\0\0\x01hi", done),
+                Heard::Nonsense,
+                None,
+            ),
+            ("a value below zero", answer(COLUMN, b"\0\x01\xff\xff\xff\xffhi", done), Heard::Nonsense, None),
+            ("no value", answer(COLUMN, b"\0\x01\0", done), Heard::Nonsense, None),
+            ("another tag", answer(COLUMN, one, b"SELECT 2\0"), Heard::Nonsense, None),
+            ("a tag without an end", answer(COLUMN, one, b"SELECT 1"), Heard::Nonsense, None),
+            ("a value beyond all", b"D\xb2\xd0\x5e\x0a\0\x01".to_vec(), Heard::Nonsense, None),
             ("a startup out of turn", message(b'R', &[0; 4]), Heard::Nonsense, None),
         ] {
             let mut talk = Talk { phase: Phase::Busy, ..Talk::default() };
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -95,6 +95,32 @@
     }
 }
 
+/// Guards against spoilt answers, which may come from any server, shutting one server after the other, and against
+/// what stands behind a good answer being taken for the next one's.
+#[test]
+fn a_spoilt_answer_costs_no_more_than_its_connection() {
+    let spoilt = Does::Says(message(b'D', b"\0\x01\0\0\0\x09hi"));
+    let script = vec![spoilt, value()];
+    let (primary, replica) = (Server::start(true, script.clone()), Server::start(false, script));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let mut client = gateway.client();
+    assert!(matches!(client.query(&read(1)), Reply::Error(..)));
+    for id in 2..12 {
+        assert!(matches!(client.query(&read(id)), Reply::Value(_)));
+    }
+    assert_eq!([primary.asked().len(), replica.asked().len()], [1, 11]);
+    // Every answer brings a second copy of itself and noise, and is passed on once.
+    let twice = [answer(b"one"), message(b'Z', b"I"), answer(b"one"), b"noise".to_vec()].concat();
+    let replica = Server::start(false, vec![Does::Says(twice)]);
+    let (gateway, _changes) = self::gateway(&primary, &replica);
+    let mut client = gateway.client();
+    for id in 20..30 {
+        assert_eq!(client.query(&read(id)), Reply::Value(b"one".to_vec()));
+        assert_eq!(client.query(""), Reply::Empty);
+    }
+    assert_eq!(replica.asked().len(), 10);
+}
+
 /// Guards against a dispatch that never left being taken for one that may have run.
 #[test]
 fn a_write_goes_on_to_the_next_primary_when_the_known_one_is_not_there() {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -334,6 +334,8 @@
                 member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
             }
             Ending::Unconnected | Ending::Reset => member.refused(now),
+            // Guards against a probe that never left, or brought nonsense, taking a member out.
+            Ending::Unsent | Ending::Recalled => {}
             _ => member.down = !seen.probes_lost_most,
         }
         if let Some(report) = report {
@@ -954,12 +956,8 @@
 
     fn due(&mut self, now: Micros) -> Wait {
         let mut wait = Wait { micros: SECOND, ..Wait::default() };
-        if let Some(due) = self.watch_due {
-            wait.watch = due <= now;
-            if wait.watch {
-                self.watch_due = None;
-            }
-        }
+        wait.watch = self.watch_due.is_some_and(|due| due <= now);
+        self.watch_due = self.watch_due.filter(|due| *due > now);
         if !self.flag("limits.probes", false) {
             return wait;
         }
