Let idle clients make way before the servers' connections do

At fault: room_for_one gave up a server's idle connection first and a client's only when there was none.

Now a client that has rested for 2 s goes first, and a server's connection goes for a client's only while the servers hold more than their half. The clients without a command are kept in order, so that nothing is scanned for the idlest.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,8 @@
 /// Descriptors kept for what is neither a client's nor a server's: the log, the loop, the listener, signals, peers,
 /// discovery, and a few that the machine may still be closing.
 const RESERVE: usize = 40;
+/// A client that had no command in hand for so long holds its connection for later, if at all.
+const CLIENT_RESTS: Micros = 2_000_000;
 /// How long a closed connection waits for the other side's end.
 const LINGER: Micros = 1_000_000;
 /// An idle connection to a server is closed after this part of the time that the settings give it, so that the
@@ -144,7 +146,7 @@
     /// Takes what the listen queue holds.
     pub fn accept(&mut self) {
         loop {
-            let full = !self.room_for_one();
+            let full = !self.room_for_one(true);
             let waited = std::mem::replace(&mut self.queue_waits, full);
             if self.queue_waits {
                 if !waited {
@@ -161,12 +163,19 @@
         }
     }
 
-    /// Whether one more descriptor may be held, after idle connections made way if they have to.
-    fn room_for_one(&mut self) -> bool {
-        while self.clients.count() + self.servers.count() + RESERVE >= self.deployment.sockets {
-            if let Some(key) = self.servers.idlest() {
+    /// Whether one more descriptor may be held, after an idle connection made way if it has to. Clients that rest come
+    /// first: some keep what they will never use again, while a server's connection is dear to open. Guards against
+    /// clients without end that leave none to the servers, whose share is half.
+    fn room_for_one(&mut self, for_client: bool) -> bool {
+        let most = self.deployment.sockets - RESERVE;
+        while self.clients.count() + self.servers.count() >= most {
+            let now = self.clock.now();
+            let line = self.servers.idlest().filter(|_| !for_client || self.servers.count() > most / 2);
+            if let Some(key) = self.clients.idlest(now - CLIENT_RESTS) {
+                self.close_client(key);
+            } else if let Some(key) = line {
                 self.close_line(key);
-            } else if let Some(key) = self.clients.idlest() {
+            } else if let Some(key) = self.clients.idlest(now) {
                 self.close_client(key);
             } else {
                 return false;
@@ -315,9 +324,7 @@
     /// The client that waits for a command has its final answer.
     fn answered(&mut self, command: u64, written: Next) {
         let now = self.clock.now();
-        let Some(key) = self.clients.answering(command) else { return };
-        let Some(client) = self.clients.get(key) else { return };
-        client.answered(now);
+        let Some(key) = self.clients.answering(command, now) else { return };
         if let Next::Close = written {
             self.close_client(key);
         } else {
@@ -375,7 +382,7 @@
             self.close_line(key);
         }
         let Some(address) = self.servers.address(server) else { return Err(Ending::Unsent) };
-        if !self.room_for_one() {
+        if !self.room_for_one(false) {
             say!("no descriptor left for a connection to {}", self.servers_named.name(server));
             return Err(Ending::Unsent);
         }
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -1,6 +1,8 @@
 //! The clients' connections and the commands that they wait for. This is where a client's socket is given back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use tansyjunction::interface::Micros;
 
 use crate::wire::client::Client;
 
@@ -9,10 +11,13 @@
     connections: BTreeMap<u64, Client>,
     /// Which connection waits for a command.
     waiting: BTreeMap<u64, u64>,
+    /// Connections without a command in hand, by when they last had one or came.
+    resting: BTreeSet<(Micros, u64)>,
 }
 
 impl Clients {
     pub fn add(&mut self, key: u64, client: Client) {
+        self.resting.insert((client.used, key));
         self.connections.insert(key, client);
     }
 
@@ -29,12 +34,19 @@
     }
 
     pub fn waits(&mut self, key: u64, command: u64) {
+        let Some(client) = self.connections.get(&key) else { return };
+        self.resting.remove(&(client.used, key));
         self.waiting.insert(command, key);
     }
 
     /// The connection that waits for a command, which is answered now.
-    pub fn answering(&mut self, command: u64) -> Option<u64> {
-        self.waiting.remove(&command)
+    pub fn answering(&mut self, command: u64, now: Micros) -> Option<u64> {
+        let key = self.waiting.remove(&command)?;
+        let client = self.connections.get_mut(&key)?;
+        client.answered();
+        client.used = now;
+        self.resting.insert((now, key));
+        Some(key)
     }
 
     /// The connection that waits for a command.
@@ -43,15 +55,16 @@
         self.connections.get_mut(key)
     }
 
-    /// The idle connection that was used least recently.
-    pub fn idlest(&self) -> Option<u64> {
-        let idle = self.connections.iter().filter(|(_, c)| c.is_open() && c.is_idle());
-        idle.min_by_key(|(key, c)| (c.used, **key)).map(|(key, _)| *key)
+    /// The idle connection that was used least recently, and not since `before`.
+    pub fn idlest(&self, before: Micros) -> Option<u64> {
+        let rested = self.resting.range(..=(before, u64::MAX)).map(|(_, key)| *key);
+        rested.into_iter().find(|key| self.connections.get(key).is_some_and(Client::is_idle))
     }
 
     /// Gives a connection up, with the command that it waited for.
     pub fn remove(&mut self, key: u64) -> Option<(Client, Option<u64>)> {
         let client = self.connections.remove(&key)?;
+        self.resting.remove(&(client.used, key));
         let command = client.in_hand.as_ref().map(|in_hand| in_hand.command);
         if let Some(command) = command {
             self.waiting.remove(&command);
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -63,6 +63,7 @@
     until_sync: bool,
     /// More may wait in the socket than was read.
     more: bool,
+    /// When it last had a command in hand, or came.
     pub used: Micros,
     /// When it is closed unless a command is in hand, where it is to end.
     pub due: Option<Micros>,
@@ -90,11 +91,6 @@
         self.in_hand.is_none() && self.inbox.rest().is_empty() && self.outbox.is_empty()
     }
 
-    /// Its startup has been answered.
-    pub fn is_open(&self) -> bool {
-        self.phase == Phase::Open
-    }
-
     /// Reads what is there; false: the client has ended.
     pub fn read(&mut self) -> bool {
         // Guards against clients that send ahead or do not read, whose bytes would fill the memory.
@@ -214,10 +210,9 @@
     }
 
     /// The command in hand has been answered.
-    pub fn answered(&mut self, now: Micros) {
+    pub fn answered(&mut self) {
         if let Some(in_hand) = self.in_hand.take() {
             self.inbox.consume(in_hand.length);
-            self.used = now;
         }
     }
 
