--- a/src/balance.rs
+++ b/src/balance.rs
@@ -65,7 +65,7 @@
 const FAIL_HALF_LIFE: Micros = 3 * SECOND;
 /// Share of failures above which a member does not qualify: more often wrong than right.
 const FAIL_SHARE: f64 = 0.5;
-/// Broken connections in a row that tell of their member: where one in five breaks, chance makes two of them often.
+/// Broken connections in a row that tell of their member: where one in five breaks, two often come by chance.
 const BREAKS: u32 = 3;
 /// After a failed connection others are preferred for so long, a retry or two; where there is no other, it is
 /// tried again after a few round trips.
@@ -158,8 +158,8 @@
         self.queue_told.filter(|at| *at <= now && now <= *at + of_late).map(|_| self.queue)
     }
 
-    /// A connection to it failed or broke. Guards against shutting a member for those that idled too long or broke
-    /// alone: only several in a row, without an answer between, tell of the member.
+    /// A connection to it failed or broke. Guards against shutting a member for those that idled too long or
+    /// broke alone: only several in a row, without an answer between, tell of the member.
     fn refused(&mut self, now: Micros, ending: Ending) {
         self.failures.add(now, FAIL_HALF_LIFE, 1.0);
         self.breaks = if self.broke > self.answered_at { self.breaks + 1 } else { 1 };
@@ -980,10 +980,8 @@
             let paced =
                 if self.seen.probes_lost_most { PROBE_MOST } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
             for server in &group.members {
-                let Some(member) = self.members.get_mut(server) else { continue };
-                if !member.serving || member.probe_out {
-                    continue;
-                }
+                let member = self.members.get_mut(server).filter(|m| m.serving && !m.probe_out);
+                let Some(member) = member else { continue };
                 let every = if sought { SEARCH_EVERY } else { paced };
                 let every = if member.down { every.min(PROBE_DOWN) } else { every };
                 let next = member.probed.map_or(now, |at| at + every);
