After SIGTERM serve open connections as long as answers can be in time

Seen: on reload, on sockets a fifth of the commands failed from 15 to 20 s. The logs show the second gateway told to stop at 15.9 s while the first one is back at 17.3 s; the second closed its idle connections 0.6 s after SIGTERM, and its clients had nowhere to go. What each gateway takes was counted every 0.2 s: clients use open connections for 2 s.

Now all is served until one second before the time by which it must be answered (the longest client timeout, 3 s if that is longer, and half a second); what comes meanwhile has until then, and a lingering connection no longer holds up the end.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,8 @@
 const CLIENT_RESTS: Micros = 2_000_000;
 /// How long a closed connection waits for the other side's end.
 const LINGER: Micros = 1_000_000;
+/// The same where the whole process is to end.
+const LINGER_LEAST: Micros = 50_000;
 /// An idle connection to a server is closed after this part of the time that the settings give it, so that the
 /// server's own closing does not cross a statement.
 const IDLE_PART: f64 = 0.8;
@@ -41,7 +43,13 @@
 /// Between attempts to reach discovery: the first pause, and the longest.
 const WATCH_AGAIN: Micros = 100_000;
 const WATCH_AGAIN_MOST: Micros = 2_000_000;
-/// New connections come for up to 0.4 s after SIGTERM; the listener closes well after that.
+/// SIGKILL follows SIGTERM after the longest client timeout, or this if that is longer, and some more; by then all
+/// that was taken must have been answered, with time to spare.
+const STOPS_WITHIN: Micros = 3_000_000;
+const STOPS_MORE: Micros = 500_000;
+/// So long before that nothing more is taken: most commands take far less. Not sooner than new connections have ceased
+/// to come, up to 0.4 s after SIGTERM.
+const TAKES_NONE: Micros = 1_000_000;
 const LISTEN_ON: Micros = 600_000;
 
 /// What falls due beside commands.
@@ -85,7 +93,8 @@
     last: u64,
     /// A list has come: empty queries are answered.
     ready: bool,
-    stopping: bool,
+    /// Until when all that is taken must be answered, once SIGTERM has come.
+    stops: Option<Micros>,
     /// The listen queue was left as it was for want of a descriptor.
     queue_waits: bool,
 }
@@ -109,7 +118,7 @@
             router_due: 0,
             last: 0,
             ready: false,
-            stopping: false,
+            stops: None,
             queue_waits: false,
             deployment,
         };
@@ -241,7 +250,7 @@
             group: self.groups.find(head.group).unwrap_or(usize::MAX),
             session,
             arrived: now,
-            client_timeout: now + at_millis(head.wait),
+            client_timeout: (now + at_millis(head.wait)).min(self.stops.unwrap_or(Micros::MAX)),
             // A commit of this very moment still counts as one.
             written_ago: head.after.map(|after| now.saturating_sub(at_millis(after)).max(1)),
         };
@@ -255,7 +264,8 @@
     /// Once the listener is closed, a connection without a command in hand is closed too; what is on its way in gets
     /// a moment more.
     fn part_with(&mut self, key: u64) {
-        let until = self.clock.now() + LINGER;
+        let now = self.clock.now();
+        let until = (now + LINGER).min(self.stops.unwrap_or(Micros::MAX).max(now + LINGER_LEAST));
         let Some(client) = self.clients.get(key).filter(|client| client.due.is_none()) else { return };
         if client.in_hand.is_some() || !client.outbox.is_empty() {
             return;
@@ -799,12 +809,15 @@
         }
     }
 
-    /// SIGTERM: connections still come for a while, and clients use those that are open; all is served until the
-    /// listener closes, and after that what has been taken is brought to its end.
+    /// SIGTERM: connections still come for a while, and clients use those that are open, perhaps for want of another
+    /// gateway. All is served as long as it can still be answered in time; then the listener and idle connections are
+    /// closed, and what has been taken is brought to its end.
     pub fn stop(&mut self) {
-        if !self.stopping {
-            self.stopping = true;
-            self.due.add(self.clock.now() + LISTEN_ON, Due::Listener);
+        if self.stops.is_none() {
+            let now = self.clock.now();
+            let most = self.deployment.longest_wait.min(STOPS_WITHIN) + STOPS_MORE;
+            self.stops = Some(now + most);
+            self.due.add(now + most.saturating_sub(TAKES_NONE).max(LISTEN_ON), Due::Listener);
         }
     }
 
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -26,6 +26,8 @@
     pub zones: Vec<String>,
     /// Names of the command groups, and whether their commands name a session.
     pub command_groups: Vec<(String, bool)>,
+    /// How long any client waits at most.
+    pub longest_wait: Micros,
     /// Whether probes bring a load report, and its fields.
     pub reports: bool,
     /// How long opening a connection may take, and how long one may idle.
@@ -73,6 +75,8 @@
         let needs = list(&settings["domain"]["needs_by_class"]);
         // Only reads that must see their session's writes make a session worth remembering.
         let sessions = needs.iter().any(|need| need == "causal");
+        let waits = command_groups.iter().filter_map(|each| each["hard_limit"].as_f64());
+        let longest_wait = (waits.fold(0.0, f64::max) / NANOS) as Micros;
         let command_groups = command_groups.iter().enumerate().map(|(k, each)| {
             let name = each["name"].as_str().ok_or(format!("'settings.categories.{k}.name' is missing"))?;
             let need = needs.get(k).and_then(Json::as_str).unwrap_or_default();
@@ -118,6 +122,7 @@
                 .filter_map(|zone| zone.as_str().map(String::from))
                 .collect(),
             command_groups: command_groups.collect::<Result<_, String>>()?,
+            longest_wait,
             reports: matches!(settings["telemetry"]["how"].as_str(), Some("piggyback" | "pull")),
             connect_within: limit("dial_timeout")?.unwrap_or(250_000),
             idle_for: limit("conn_idle")?.unwrap_or(10_000_000),
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -269,6 +269,9 @@
     gateway.signal("TERM");
     assert!(matches!(open.query(&read(2)), Reply::Value(_)));
     assert!(matches!(gateway.client().query(&read(3)), Reply::Value(_)));
+    // Another gateway may not be there yet: open connections serve on while their commands can still be answered.
+    std::thread::sleep(Duration::from_millis(800));
+    assert!(matches!(open.query(&read(4)), Reply::Value(_)));
     assert_eq!(busy.reply(), Reply::Value(b"late".to_vec()));
     assert_eq!(open.reply(), Reply::Ended);
     assert!(gateway.ended());
