Give clients a time limit, a turn and a share of memory; take an id once at a time

Checked by tests that fail before: a silent connection or half a message was kept for good (fell_due knew no limit but the one at the end of the process), one client that sends without end kept all others waiting (serve_client and Client::read went on while there was more), the connection was reset before its FATAL was read when more stood behind, and a command with the id of another in hand was sent on, as were statements with conditions behind the key and keyed ones without a key.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,10 +29,14 @@
 const RESERVE: usize = 40;
 /// A client that had no command in hand for so long holds its connection for later, if at all.
 const CLIENT_RESTS: Micros = 2_000_000;
-/// How long a closed connection waits for the other side's end.
-const LINGER: Micros = 1_000_000;
-/// The same where the whole process is to end.
+/// How long any connection may linger where the whole process is to end.
 const LINGER_LEAST: Micros = 50_000;
+/// Messages of one client, and new clients, that are taken before the others have their turn.
+const TURN: usize = 8;
+const TURN_NEW: usize = 64;
+/// What inboxes may hold together, as a part of the memory, and from which size on a client is refused for it.
+const INBOX_PART: usize = 4;
+const INBOX_LARGE: usize = 16 * 1_024;
 /// An idle connection to a server is closed after this part of the time that the settings give it, so that the
 /// server's own closing does not cross a statement.
 const IDLE_PART: f64 = 0.8;
@@ -97,6 +101,8 @@
     stops: Option<Micros>,
     /// The listen queue was left as it was for want of a descriptor.
     queue_waits: bool,
+    /// The same because the others have their turn.
+    queue_more: bool,
 }
 
 impl Gateway {
@@ -120,6 +126,7 @@
             ready: false,
             stops: None,
             queue_waits: false,
+            queue_more: false,
             deployment,
         };
         if let Some(known) = gateway.deployment.known.take() {
@@ -154,19 +161,23 @@
 
     /// Takes what the listen queue holds.
     pub fn accept(&mut self) {
-        loop {
+        for turn in 0.. {
+            self.queue_more = turn == TURN_NEW;
             let full = !self.room_for_one(true);
-            let waited = std::mem::replace(&mut self.queue_waits, full);
-            if self.queue_waits {
-                if !waited {
-                    say!("no descriptor left for another client");
-                }
+            if full && !self.queue_waits {
+                say!("no descriptor left for another client");
+            }
+            self.queue_waits = full;
+            if self.queue_waits || self.queue_more {
                 return;
             }
             let Some(stream) = self.listener.as_ref().and_then(|listener| listener.next()) else { return };
             let key = self.number();
             match self.watch(stream, move |gateway, readiness| gateway.client_ready(key, readiness)) {
-                Ok((stream, token)) => self.clients.add(key, Client::new(stream, token, self.clock.now())),
+                Ok((stream, token)) => {
+                    self.clients.add(key, Client::new(stream, token, self.clock.now()));
+                    self.mind(key);
+                }
                 Err(error) => say!("a client's connection: {error}"),
             }
         }
@@ -200,13 +211,28 @@
             self.close_client(key);
             return;
         }
+        // Guards against many clients with long messages at once, which would fill the memory.
+        if client.in_hand.is_none()
+            && client.inbox.kept() > INBOX_LARGE
+            && self.clients.kept() > self.deployment.memory / INBOX_PART
+            && let Some(client) = self.clients.get(key)
+        {
+            say!("no memory left for a client's message");
+            client.refuse("53200", "no memory left for the message");
+        }
         self.resume.push_back(key);
     }
 
-    /// Takes a client's next messages until one is in hand.
+    /// Takes a client's next messages until one is in hand. Guards against a client that sends without end and keeps
+    /// the others waiting.
     fn serve_client(&mut self, key: u64) {
         let ready = self.ready;
-        while let Some(client) = self.clients.get(key) {
+        for turn in 0.. {
+            let Some(client) = self.clients.get(key) else { break };
+            if turn == TURN {
+                self.resume.push_back(key);
+                break;
+            }
             match client.next(ready) {
                 Next::Wait => break,
                 Next::Answered => {}
@@ -220,22 +246,50 @@
         if self.listener.is_none() {
             self.part_with(key);
         }
+        self.mind(key);
+    }
+
+    /// Keeps the time by which a client must have ended what it is in the middle of.
+    fn mind(&mut self, key: u64) {
+        let now = self.clock.now();
+        let Some(client) = self.clients.get(key) else { return };
+        let most = match (&self.listener, self.stops) {
+            (None, Some(stops)) => stops.max(now + LINGER_LEAST),
+            _ => Micros::MAX,
+        };
+        match client.mind() {
+            Some(Some(within)) => client.limit.set(&mut self.due, Due::Client(key), most.min(now + within)),
+            Some(None) => client.limit.clear(),
+            None => {}
+        }
     }
 
     fn take_command(&mut self, key: u64, length: usize) {
         let now = self.clock.now();
         let command = self.number();
-        let Some(client) = self.clients.get(key) else { return };
+        let Some(client) = self.clients.see(key) else { return };
         let read = Head::read(&client.inbox.rest()[..length]).and_then(|head| {
             let mut known = self.deployment.command_groups.iter();
-            let command_group = known.position(|(name, _)| name == head.command_group);
-            Ok((command_group.ok_or("'c' is not in the settings")?, head))
+            let place = known.position(|group| group.name == head.command_group);
+            let place = place.ok_or("'c' is not in the settings")?;
+            let group = &self.deployment.command_groups[place];
+            if group.keyed && !head.keyed {
+                return Err("'k' is missing".into());
+            }
+            if head.writes && !group.writes {
+                return Err("'c' is of commands that write nothing".into());
+            }
+            if self.clients.has(head.id) {
+                return Err("'id' is that of a command in hand".into());
+            }
+            Ok((place, head))
         });
         let (command_group, head) = match read {
             Ok(read) => read,
             Err(message) => {
                 let error = frames::error("ERROR", "42601", &message, None);
-                client.inbox.consume(length);
+                let Some(client) = self.clients.get(key) else { return };
+                client.consume(length);
                 if let Next::Close = client.answer(&[&error, frames::READY]) {
                     self.close_client(key);
                 }
@@ -243,7 +297,7 @@
             }
         };
         let session =
-            self.deployment.command_groups[command_group].1.then(|| self.sessions.of(head.key, now));
+            self.deployment.command_groups[command_group].session.then(|| self.sessions.of(head.key, now));
         let taken = Command {
             command_group,
             // A group that no list has named has no members; its number must not be kept for whoever asks.
@@ -254,8 +308,8 @@
             // A commit of this very moment still counts as one.
             written_ago: head.after.map(|after| now.saturating_sub(at_millis(after)).max(1)),
         };
-        client.in_hand = Some(InHand { command, length, wait_at: head.wait_at });
-        self.clients.waits(key, command);
+        let in_hand = InHand { command, id: head.id.into(), length, wait_at: head.wait_at };
+        self.clients.waits(key, in_hand);
         self.commands.take(command, taken);
         // Guards against a first question that is not asked at the arrival: the router tells new commands by that.
         self.ask_at(now, command);
@@ -264,17 +318,9 @@
     /// Once the listener is closed, a connection without a command in hand is closed too; what is on its way in gets
     /// a moment more.
     fn part_with(&mut self, key: u64) {
-        let now = self.clock.now();
-        let until = (now + LINGER).min(self.stops.unwrap_or(Micros::MAX).max(now + LINGER_LEAST));
-        let Some(client) = self.clients.get(key).filter(|client| client.due.is_none()) else { return };
-        if client.in_hand.is_some() || !client.outbox.is_empty() {
-            return;
-        }
-        if client.inbox.rest().is_empty() {
+        if let Some(client) = self.clients.get(key).filter(|client| client.is_idle()) {
             client.close_gently();
         }
-        client.due = Some(until);
-        self.due.add(until, Due::Client(key));
     }
 
     /// A client's connection has ended or is of no more use; the one place that gives it up.
@@ -735,7 +781,7 @@
 
     /// Until when the loop may sleep.
     pub fn next_due(&self) -> Micros {
-        if !self.resume.is_empty() {
+        if !self.resume.is_empty() || self.queue_more {
             return 0;
         }
         [self.commands.next_due(), self.due.next()].into_iter().flatten().fold(self.router_due, Micros::min)
@@ -744,10 +790,13 @@
     /// Does all that was due at `until`, a time before the last look at the sockets: after a pause of the whole
     /// process, what had come in meanwhile has then been read before anything is timed out.
     pub fn settle(&mut self, until: Micros) {
-        loop {
+        for _ in 0..self.resume.len() {
             if let Some(key) = self.resume.pop_front() {
                 self.serve_client(key);
-            } else if let Some(command) = self.commands.due(until) {
+            }
+        }
+        loop {
+            if let Some(command) = self.commands.due(until) {
                 self.ask(command);
             } else if let Some((at, due)) = self.due.take(until) {
                 self.fell_due(at, due);
@@ -756,7 +805,7 @@
             }
         }
         // Guards against a listen queue that is left unserved once any connection has given its descriptor back.
-        if self.queue_waits {
+        if self.queue_waits || self.queue_more {
             self.accept();
         }
         let now = self.clock.now();
@@ -775,13 +824,16 @@
     fn fell_due(&mut self, at: Micros, due: Due) {
         match due {
             Due::Client(key) => {
-                let Some(client) = self.clients.get(key).filter(|client| client.due == Some(at)) else {
+                let Some(client) = self.clients.get(key) else { return };
+                if !client.limit.is_due(&mut self.due, Due::Client(key), at) {
                     return;
-                };
-                client.due = None;
-                if client.in_hand.is_none() {
+                }
+                // Where something waits to be read, a last word would not be read either.
+                let over = client.is_closing() || !client.outbox.is_empty();
+                if over || matches!(client.refuse("08P01", "it did not come in whole in time"), Next::Close) {
                     self.close_client(key);
                 }
+                self.mind(key);
             }
             Due::Line(key) => {
                 let Some(line) = self.servers.get(key) else { return };
@@ -804,6 +856,7 @@
                 self.listener = None;
                 for key in self.clients.keys() {
                     self.part_with(key);
+                    self.mind(key);
                 }
             }
         }
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -4,13 +4,15 @@
 
 use tansyjunction::interface::Micros;
 
-use crate::wire::client::Client;
+use crate::wire::client::{Client, InHand};
 
 #[derive(Default)]
 pub struct Clients {
     connections: BTreeMap<u64, Client>,
     /// Which connection waits for a command.
     waiting: BTreeMap<u64, u64>,
+    /// The `id` of each command in hand.
+    ids: BTreeSet<String>,
     /// Connections without a command in hand, by when they last had one or came.
     resting: BTreeSet<(Micros, u64)>,
 }
@@ -25,6 +27,10 @@
         self.connections.get_mut(&key)
     }
 
+    pub fn see(&self, key: u64) -> Option<&Client> {
+        self.connections.get(&key)
+    }
+
     pub fn count(&self) -> usize {
         self.connections.len()
     }
@@ -33,17 +39,31 @@
         self.connections.keys().copied().collect()
     }
 
-    pub fn waits(&mut self, key: u64, command: u64) {
-        let Some(client) = self.connections.get(&key) else { return };
+    /// Whether a command of this `id` is in hand.
+    pub fn has(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    /// How much memory the inboxes hold.
+    pub fn kept(&self) -> usize {
+        self.connections.values().map(|client| client.inbox.kept()).sum()
+    }
+
+    pub fn waits(&mut self, key: u64, in_hand: InHand) {
+        let Some(client) = self.connections.get_mut(&key) else { return };
         self.resting.remove(&(client.used, key));
-        self.waiting.insert(command, key);
+        self.ids.insert(in_hand.id.clone());
+        self.waiting.insert(in_hand.command, key);
+        client.in_hand = Some(in_hand);
     }
 
     /// The connection that waits for a command, which is answered now.
     pub fn answering(&mut self, command: u64, now: Micros) -> Option<u64> {
         let key = self.waiting.remove(&command)?;
         let client = self.connections.get_mut(&key)?;
-        client.answered();
+        if let Some(in_hand) = client.answered() {
+            self.ids.remove(&in_hand.id);
+        }
         client.used = now;
         self.resting.insert((now, key));
         Some(key)
@@ -65,10 +85,12 @@
     pub fn remove(&mut self, key: u64) -> Option<(Client, Option<u64>)> {
         let client = self.connections.remove(&key)?;
         self.resting.remove(&(client.used, key));
-        let command = client.in_hand.as_ref().map(|in_hand| in_hand.command);
-        if let Some(command) = command {
-            self.waiting.remove(&command);
+        let in_hand = client.in_hand.as_ref();
+        if let Some(in_hand) = in_hand {
+            self.waiting.remove(&in_hand.command);
+            self.ids.remove(&in_hand.id);
         }
+        let command = in_hand.map(|in_hand| in_hand.command);
         Some((client, command))
     }
 }
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -13,6 +13,15 @@
 /// Nanoseconds, the settings' unit, in a microsecond.
 const NANOS: f64 = 1_000.0;
 
+/// A command group as far as the gateway itself minds it.
+pub struct CommandGroup {
+    pub name: String,
+    /// Its commands name a session; they carry a key; they may write.
+    pub session: bool,
+    pub keyed: bool,
+    pub writes: bool,
+}
+
 /// What this gateway was told of the deployment that it serves.
 pub struct Deployment {
     pub name: String,
@@ -20,12 +29,13 @@
     pub discovery: SocketAddr,
     /// File descriptors that this process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may hold.
+    pub memory: usize,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub known: Option<List>,
     pub zones: Vec<String>,
-    /// Names of the command groups, and whether their commands name a session.
-    pub command_groups: Vec<(String, bool)>,
+    pub command_groups: Vec<CommandGroup>,
     /// How long any client waits at most.
     pub longest_wait: Micros,
     /// Whether probes bring a load report, and its fields.
@@ -80,7 +90,12 @@
         let command_groups = command_groups.iter().enumerate().map(|(k, each)| {
             let name = each["name"].as_str().ok_or(format!("'settings.categories.{k}.name' is missing"))?;
             let need = needs.get(k).and_then(Json::as_str).unwrap_or_default();
-            Ok((name.to_string(), sessions && matches!(need, "causal" | "mutate")))
+            Ok(CommandGroup {
+                name: name.to_string(),
+                session: sessions && matches!(need, "causal" | "mutate"),
+                keyed: each["effect"] == "token",
+                writes: each["effect"] != "pure" || need == "mutate",
+            })
         });
         let limit = |key: &str| match &settings["limits"][key] {
             Json::Null => Ok(None),
@@ -96,6 +111,14 @@
                 .filter(|n| *n >= 64)
                 .ok_or(format!("'limits.sockets' is {value}, not 64 or more"))? as usize,
         };
+        let memory = match &json["limits"]["memory_mb"] {
+            Json::Null => 128,
+            value => value
+                .as_u64()
+                .filter(|n| (16..1 << 20).contains(n))
+                .ok_or(format!("'limits.memory_mb' is {value}, not 16 or more"))?
+                as usize,
+        };
         let seed = match &json["seed"] {
             Json::Null => 0,
             Json::String(text) => u64::from_str_radix(text, 16)
@@ -114,6 +137,7 @@
             listen: address("listen", &word("listen", "BALANCER_LISTEN")?)?,
             discovery: address("discovery", &word("discovery", "BALANCER_DISCOVERY")?)?,
             sockets,
+            memory: memory * 1_024 * 1_024,
             peer_listen,
             peers: peers.collect::<Result<_, _>>()?,
             known,
@@ -150,6 +174,7 @@
             (r#""2a""#, r#""2x""#, "'seed'"),
             (r#""seq":1"#, r#""seq":-1"#, "'known'"),
             (r#""sockets":100"#, r#""sockets":10"#, "'limits.sockets'"),
+            (r#""sockets":100"#, r#""memory_mb":2"#, "'limits.memory_mb'"),
             ("15000000000", "0", "'settings.limits.conn_idle'"),
             (r#""name":"look","#, "", "'settings.categories.0.name'"),
             (r#""aim":400000000,"#, "", "command_group.0.response_target"),
--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -29,6 +29,11 @@
         &self.bytes[self.used..]
     }
 
+    /// How much memory it holds.
+    pub fn kept(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Gives up the first `count` bytes; an empty box gives its memory back.
     pub fn consume(&mut self, count: usize) {
         self.used = (self.used + count).min(self.bytes.len());
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -6,6 +6,7 @@
 
 use calloop::RegistrationToken;
 use tansyjunction::interface::Micros;
+use tansyjunction_hosting::Reminder;
 
 use crate::wire::bytes::{Inbox, Outbox, Reading};
 use crate::wire::frames;
@@ -18,6 +19,15 @@
 const AHEAD: usize = 4_096;
 /// Longest startup message, as PostgreSQL has it.
 const OPENING_MOST: usize = 10_000;
+/// How long a startup or a message may take to come in whole: far longer than a slow client's, and short enough that
+/// silent ones by the hundred hold their descriptors for a moment only.
+const WHOLE_WITHIN: Micros = 2_500_000;
+/// The same for an overlong message that is skipped, which keeps coming.
+const SKIPPED_WITHIN: Micros = 5_000_000;
+/// How long a client may leave an answer unread.
+const READ_WITHIN: Micros = 10_000_000;
+/// How long a connection that was ended here waits for the other side's end.
+pub const LINGER: Micros = 1_000_000;
 
 const STARTUP: u32 = 196_608;
 const SSL: u32 = 80_877_103;
@@ -34,6 +44,7 @@
 /// The command in hand; its message stays at the front of the inbox until it is over.
 pub struct InHand {
     pub command: u64,
+    pub id: String,
     pub length: usize,
     pub wait_at: Range<usize>,
 }
@@ -65,8 +76,10 @@
     more: bool,
     /// When it last had a command in hand, or came.
     pub used: Micros,
-    /// When it is closed unless a command is in hand, where it is to end.
-    pub due: Option<Micros>,
+    /// Messages taken so far, and until when what it is in the middle of may go on.
+    taken: u64,
+    minded: Option<(Micros, u64)>,
+    pub limit: Reminder,
 }
 
 impl Client {
@@ -82,7 +95,9 @@
             until_sync: false,
             more: false,
             used: now,
-            due: None,
+            taken: 0,
+            minded: None,
+            limit: Reminder::default(),
         }
     }
 
@@ -91,6 +106,31 @@
         self.in_hand.is_none() && self.inbox.rest().is_empty() && self.outbox.is_empty()
     }
 
+    /// Its connection was ended here.
+    pub fn is_closing(&self) -> bool {
+        self.phase == Phase::Closing
+    }
+
+    /// What it is in the middle of, told by how long that may take and by the messages before it.
+    fn in_the_middle(&self) -> Option<(Micros, u64)> {
+        let within = match self.phase {
+            Phase::Closing => LINGER,
+            _ if self.in_hand.is_some() => return None,
+            _ if !self.outbox.is_empty() => READ_WITHIN,
+            _ if self.skip > 0 => SKIPPED_WITHIN,
+            Phase::Open if self.inbox.rest().is_empty() => return None,
+            _ => WHOLE_WITHIN,
+        };
+        Some((within, self.taken))
+    }
+
+    /// When it is to be given up, where that changed. Guards against clients that never finish what they began.
+    pub fn mind(&mut self) -> Option<Option<Micros>> {
+        let middle = self.in_the_middle();
+        let changed = std::mem::replace(&mut self.minded, middle) != middle;
+        changed.then(|| middle.map(|(within, _)| within))
+    }
+
     /// Reads what is there; false: the client has ended.
     pub fn read(&mut self) -> bool {
         // Guards against clients that send ahead or do not read, whose bytes would fill the memory.
@@ -99,23 +139,20 @@
             None if !self.outbox.is_empty() => AHEAD,
             None => MESSAGE_MOST + frames::HEAD,
         };
-        loop {
-            let reading = self.inbox.read(&self.stream, most);
-            self.more = reading == Reading::Full;
-            if self.phase == Phase::Closing {
-                self.inbox.consume(usize::MAX);
-            }
-            match reading {
-                Reading::Ended => return false,
-                Reading::Full if self.phase == Phase::Closing => {}
-                _ => return true,
-            }
+        let reading = self.inbox.read(&self.stream, most);
+        self.more = reading == Reading::Full;
+        if self.phase == Phase::Closing {
+            self.inbox.consume(usize::MAX);
         }
+        reading != Reading::Ended
     }
 
     /// Takes the next message; empty queries are answered once the gateway is `ready`.
     pub fn next(&mut self, ready: bool) -> Next {
-        if self.phase == Phase::Closing || self.in_hand.is_some() || !self.outbox.is_empty() {
+        if self.phase == Phase::Closing {
+            return self.wait();
+        }
+        if self.in_hand.is_some() || !self.outbox.is_empty() {
             return Next::Wait;
         }
         if self.skip > 0 {
@@ -125,6 +162,7 @@
             if self.skip > 0 {
                 return self.wait();
             }
+            self.taken += 1;
             return self
                 .answer(&[&frames::error("ERROR", "54000", "the message is too long", None), frames::READY]);
         }
@@ -149,18 +187,18 @@
                 if !ready {
                     return Next::Wait;
                 }
-                self.inbox.consume(length);
+                self.consume(length);
                 self.answer(&[frames::EMPTY_QUERY, frames::READY])
             }
             b'Q' => Next::Query(length),
             b'X' => Next::Close,
             b'S' => {
-                self.inbox.consume(length);
+                self.consume(length);
                 self.until_sync = false;
                 self.answer(&[frames::READY])
             }
             b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
-                self.inbox.consume(length);
+                self.consume(length);
                 if std::mem::replace(&mut self.until_sync, kind != b'F') {
                     return Next::Answered;
                 }
@@ -171,6 +209,12 @@
         }
     }
 
+    /// The message at the front is done with.
+    pub fn consume(&mut self, length: usize) {
+        self.inbox.consume(length);
+        self.taken += 1;
+    }
+
     /// Waits for more, which may already be in the socket.
     fn wait(&mut self) -> Next {
         if !self.more {
@@ -183,11 +227,11 @@
         match frames::opening(self.inbox.rest(), OPENING_MOST) {
             Ok(None) => self.wait(),
             Ok(Some((SSL | GSS, length))) => {
-                self.inbox.consume(length);
+                self.consume(length);
                 self.answer(&[b"N"])
             }
             Ok(Some((STARTUP, length))) => {
-                self.inbox.consume(length);
+                self.consume(length);
                 self.phase = Phase::Open;
                 self.answer(&[frames::WELCOME, frames::READY])
             }
@@ -198,10 +242,14 @@
         }
     }
 
-    fn refuse(&mut self, code: &str, message: &str) -> Next {
+    /// Ends the connection with a last word.
+    pub fn refuse(&mut self, code: &str, message: &str) -> Next {
         let error = frames::error("FATAL", code, message, None);
-        let _ = self.answer(&[&error]);
-        Next::Close
+        if let Next::Close = self.answer(&[&error]) {
+            return Next::Close;
+        }
+        self.close_gently();
+        Next::Answered
     }
 
     /// Writes an answer; what the socket does not take follows when it does.
@@ -210,10 +258,10 @@
     }
 
     /// The command in hand has been answered.
-    pub fn answered(&mut self) {
-        if let Some(in_hand) = self.in_hand.take() {
-            self.inbox.consume(in_hand.length);
-        }
+    pub fn answered(&mut self) -> Option<InHand> {
+        let in_hand = self.in_hand.take()?;
+        self.consume(in_hand.length);
+        Some(in_hand)
     }
 
     /// Ends this side and drops what comes. Guards against a reset that would overtake the last answer.
--- a/crates/gateway/src/wire/statement.rs
+++ b/crates/gateway/src/wire/statement.rs
@@ -5,6 +5,10 @@
 /// A command as its statement tells it; ranges are places in the message.
 #[derive(Debug, PartialEq)]
 pub struct Head<'a> {
+    pub id: &'a str,
+    /// Whether it writes, and whether it holds a key by which repeats are dropped.
+    pub writes: bool,
+    pub keyed: bool,
     pub command_group: &'a str,
     /// How long the client waits, in milliseconds, and where that stands.
     pub wait: u64,
@@ -28,13 +32,27 @@
             return Err("the statement holds a zero byte".into());
         }
         let known = ["SELECT v FROM records WHERE k = '", "INSERT INTO records (k, v) VALUES ('"];
-        let rest = known.iter().find_map(|start| text.strip_prefix(start));
-        let rest = rest.ok_or("not a statement on the records")?;
+        let start = known.iter().position(|start| text.starts_with(start));
+        let start = start.ok_or("not a statement on the records")?;
+        let rest = &text[known[start].len()..];
         let key = &rest[..rest.find('\'').ok_or("the key is not closed")?];
         let (open, close) = (text.rfind("/*"), text.rfind("*/"));
         let (Some(open), Some(close)) = (open, close) else { return Err("the comment is missing".into()) };
         let comment = text.get(open + 2..close).ok_or("the comment is not closed")?;
+        let middle =
+            text.get(known[start].len() + key.len() + 1..open).ok_or("the comment is in the key")?.trim();
+        let writes = start == 1;
+        let fits = if writes {
+            let value = middle.strip_prefix(", '\\x").and_then(|rest| rest.strip_suffix("') RETURNING v"));
+            value.is_some_and(|value| value.bytes().all(|byte| byte.is_ascii_hexdigit()))
+        } else {
+            middle.is_empty()
+        };
+        if !fits || !matches!(text[close + 2..].trim(), "" | ";") {
+            return Err("not a statement on one record alone".into());
+        }
         let (mut id, mut command_group, mut wait, mut group, mut after) = (None, None, None, None, None);
+        let (mut keyed, mut names) = (false, Vec::new());
         let mut at = 5 + open + 2;
         for part in comment.split(',') {
             let here = at;
@@ -42,23 +60,41 @@
             let Some((name, value)) = part.split_once('=') else { continue };
             let start = here + name.len() + 1 + (value.len() - value.trim_start().len());
             let value = value.trim();
+            if names.contains(&name.trim()) {
+                return Err(format!("'{}' is given twice", name.trim()));
+            }
+            names.push(name.trim());
             let number = || value.parse::<u64>().map_err(|_| format!("'{}' is not a number", name.trim()));
             match name.trim() {
                 "id" => id = Some(value),
                 "c" => command_group = Some(value),
                 "d" => wait = Some((number()?, start..start + value.len())),
                 "cluster" => group = Some(value),
+                "k" => keyed = !value.is_empty(),
                 "after" => after = Some(number()?),
                 _ => {}
             }
         }
-        id.filter(|id| !id.is_empty()).ok_or("'id' is missing")?;
+        let id = id.filter(|id| !id.is_empty()).ok_or("'id' is missing")?;
+        if !id.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')) {
+            return Err("'id' is no word".into());
+        }
         let (wait, wait_at) = wait.ok_or("'d' is missing")?;
         if !(1..=WAIT_MOST).contains(&wait) {
             return Err("'d' is out of range".into());
         }
         let command_group = command_group.ok_or("'c' is missing")?;
-        Ok(Head { command_group, wait, wait_at, group: group.unwrap_or_default(), key, after })
+        Ok(Head {
+            id,
+            writes,
+            keyed,
+            command_group,
+            wait,
+            wait_at,
+            group: group.unwrap_or_default(),
+            key,
+            after,
+        })
     }
 }
 
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -200,6 +200,13 @@
             true,
         ),
         ("an unknown group", statement(&format!("{select} /* id=1,c=other,d=9 */")), "42601", true),
+        ("an id that is no word", statement(&format!("{select} /* id=1;,c=look,d=9 */")), "42601", true),
+        ("two ids", statement(&format!("{select} /* id=1,c=look,d=9,id=2 */")), "42601", true),
+        ("more than one record", statement(&format!("{select} OR 1=1 /* id=1,c=look,d=9 */")), "42601", true),
+        ("something behind", statement(&format!("{select} /* id=1,c=look,d=9 */; DROP")), "42601", true),
+        ("a write that reads", statement(&write(1).replace("once", "look")), "42601", true),
+        ("no key to drop repeats by", statement(&write(1).replace("once", "keyed")), "42601", true),
+        ("no value", statement(&write(1).replace("9f03", "9g")), "42601", true),
         ("a comment turned round", statement("SELECT v FROM records WHERE k = '' */ /*"), "42601", true),
         ("another statement", statement("DROP TABLE records"), "42601", true),
         ("no text", message(b'Q', &[0xff, 0xfe, 0]), "42601", true),
@@ -208,6 +215,8 @@
         ("a prepared statement", [message(b'P', b"\0\0\0\0"), message(b'S', b"")].concat(), "0A000", true),
         ("an unknown type", message(b'?', b""), "08P01", false),
         ("a length below its own", b"Q\0\0\0\x03".to_vec(), "08P01", false),
+        // What stands behind must not reset the connection before its last answer is read.
+        ("more behind", [b"Q\xff\0\0\x03".to_vec(), vec![b'x'; 400_000]].concat(), "08P01", false),
     ] {
         let mut client = gateway.client();
         client.stream.write_all(&bytes).expect("it is sent");
@@ -217,6 +226,65 @@
     }
 }
 
+/// Guards against silent clients that hold their descriptors for good.
+#[test]
+fn what_is_not_finished_in_time_is_ended_with_an_error() {
+    let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let began = std::time::Instant::now();
+    let startup = b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0";
+    let query = message(b'Q', format!("{}\0", read(1)).as_bytes());
+    let unfinished = [&b""[..], b"\0\0\0\x20", &startup[..31], &[&startup[..], &query[..50]].concat()];
+    let clients = unfinished.map(|bytes| {
+        let mut stream = TcpStream::connect(gateway.address).expect("the gateway listens");
+        stream.set_read_timeout(Some(BOUND)).expect("a bound");
+        stream.write_all(bytes).expect("it is sent");
+        Client { stream }
+    });
+    for (client, bytes) in clients.into_iter().zip(unfinished) {
+        let mut client = client;
+        let mut said = client.reply();
+        if said == Reply::Ready {
+            said = client.reply();
+        }
+        assert_eq!(said, Reply::Error("08P01".into(), None), "{bytes:?}");
+        assert_eq!(client.reply(), Reply::Ended);
+    }
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
+/// Guards against a command that takes part in another client's by its id.
+#[test]
+fn an_id_is_not_taken_twice_at_once() {
+    let late = Does::AnswersLate(b"late".to_vec(), Duration::from_millis(300));
+    let (primary, replica) = (Server::start(true, vec![late]), Server::start(false, vec![value()]));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let (mut first, mut second) = (gateway.client(), gateway.client());
+    first.send(&write(1));
+    until("the write at the primary", || primary.asked().len() == 1);
+    assert_eq!(second.query(&write(1)), Reply::Error("42601".into(), None));
+    assert_eq!(first.reply(), Reply::Value(b"late".to_vec()));
+    assert_eq!(second.query(&write(1)), Reply::Value(b"late".to_vec()));
+    assert_eq!(primary.asked().len(), 2);
+}
+
+/// Guards against a client that sends without end and has the gateway to itself.
+#[test]
+fn a_client_that_sends_without_end_does_not_keep_the_others_waiting() {
+    let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let (flood, mut other) = (gateway.client(), gateway.client());
+    let (mut reading, mut writing) = (flood.stream.try_clone().expect("a clone"), flood.stream);
+    std::thread::spawn(move || std::io::copy(&mut reading, &mut std::io::sink()));
+    std::thread::spawn(move || {
+        let many = message(b'S', b"").repeat(10_000);
+        while writing.write_all(&many).is_ok() {}
+    });
+    for id in 0..50 {
+        assert!(matches!(other.query(&read(id)), Reply::Value(_)));
+    }
+}
+
 #[test]
 fn messages_may_come_in_pieces_and_ahead() {
     let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
--- a/crates/hosting/src/due.rs
+++ b/crates/hosting/src/due.rs
@@ -5,33 +5,38 @@
 
 use tansyjunction::interface::Micros;
 
-/// A due time that is often put off: one entry stands for it, which is renewed when it comes up too early.
+/// A due time that is often put off or dropped: one entry stands for it, which is renewed when it comes up too early.
 #[derive(Default)]
 pub struct Reminder {
-    due: Micros,
+    due: Option<Micros>,
     /// The earliest entry that still holds.
     armed: Option<Micros>,
 }
 
 impl Reminder {
     pub fn set<K: Ord + Copy>(&mut self, times: &mut DueTimes<K>, what: K, due: Micros) {
-        self.due = due;
+        self.due = Some(due);
         if self.armed.is_none_or(|armed| due < armed) {
             self.armed = Some(due);
             times.add(due, what);
         }
     }
 
+    /// Nothing is due any more.
+    pub fn clear(&mut self) {
+        self.due = None;
+    }
+
     /// The entry for `at` came up: true where it is due, or else it is renewed if it still holds.
     pub fn is_due<K: Ord + Copy>(&mut self, times: &mut DueTimes<K>, what: K, at: Micros) -> bool {
         if self.armed != Some(at) {
             return false;
         }
         self.armed = None;
-        if self.due > at {
-            self.set(times, what, self.due);
+        if let Some(due) = self.due.filter(|due| *due > at) {
+            self.set(times, what, due);
         }
-        self.armed.is_none()
+        self.armed.is_none() && self.due.is_some()
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -448,8 +448,9 @@
 
     const SETTINGS: &str = r#"{"balancers":1,"me":0,"my_zone":"a","localities":["a"],"round":5000000,"categories":[
         {"name":"look","aim":400000000,"hard_limit":1500000000,"effect":"pure","worth":1.0},
-        {"name":"once","aim":400000000,"hard_limit":1500000000,"effect":"side_effect","worth":1.0}],
-        "domain":{"needs_by_class":["eventual","mutate"],"class_bound":[0,0],"guards":"await"},
+        {"name":"once","aim":400000000,"hard_limit":1500000000,"effect":"side_effect","worth":1.0},
+        {"name":"keyed","aim":400000000,"hard_limit":1500000000,"effect":"token","window":1000000000}],
+        "domain":{"needs_by_class":["eventual","mutate","mutate"],"class_bound":[0,0,0],"guards":"await"},
         "limits":{"max_attempts":4,"probes":true,"cancelling":true,"second_copies":true,"dial_timeout":250000000,
         "conn_idle":15000000000,"retry_after":true,"max_retry_after":1000000000},
         "guarantees":{"drain_grace":1000000000},"telemetry":{"fields":["x0"],"how":"piggyback"}}"#;
