Let resting clients make way beyond a quarter of the descriptors

Seen by a count of what each client is in the middle of; ruled out: listen queue, rooms, members left out, CPU. At fault: room_for_one, which looked at the gateway's own limit alone.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,12 @@
 const RESERVE: usize = 40;
 /// A client that had no command in hand for so long holds its connection for later, if at all.
 const CLIENT_RESTS: Micros = 2_000_000;
+/// A client that has not finished its startup after so long is hardly about to.
+const CLIENT_OPENS: Micros = 500_000;
+/// Clients hold at most a third of the descriptors for their commands. Beyond this part, those that rest make way for
+/// new ones, all but what rests for a moment between two commands.
+const CLIENTS_PART: usize = 4;
+const CLIENT_PAUSES: Micros = 100_000;
 /// How long any connection may linger where the whole process is to end.
 const LINGER_LEAST: Micros = 50_000;
 /// Messages of one client, and new clients, that are taken before the others have their turn.
@@ -191,11 +197,12 @@
         while self.clients.count() + self.servers.count() >= most {
             let now = self.clock.now();
             let line = self.servers.idlest().filter(|_| !for_client || self.servers.count() > most / 2);
-            if let Some(key) = self.clients.idlest(now - CLIENT_RESTS) {
+            let silent = self.clients.most_silent(now - CLIENT_OPENS);
+            if let Some(key) = silent.or_else(|| self.clients.idlest(now - CLIENT_RESTS)) {
                 self.close_client(key);
             } else if let Some(key) = line {
                 self.close_line(key);
-            } else if let Some(key) = self.clients.idlest(now) {
+            } else if let Some(key) = self.clients.idlest(now).or_else(|| self.clients.most_silent(now)) {
                 self.close_client(key);
             } else {
                 return false;
@@ -204,6 +211,17 @@
         true
     }
 
+    /// Closes clients that rest while many others are open. Guards against clients that ask once, keep the connection
+    /// for good and so use up what clients may hold together: those that have something to ask find none.
+    fn part_with_resting(&mut self) {
+        let most = self.deployment.sockets / CLIENTS_PART;
+        while self.clients.open() > most
+            && let Some(key) = self.clients.idlest(self.clock.now() - CLIENT_PAUSES)
+        {
+            self.close_client(key);
+        }
+    }
+
     fn client_ready(&mut self, key: u64, readiness: Readiness) {
         let Some(client) = self.clients.get(key) else { return };
         let flushed = client.outbox.is_empty() || client.outbox.flush(&client.stream).is_ok();
@@ -236,6 +254,7 @@
             match client.next(ready) {
                 Next::Wait => break,
                 Next::Answered => {}
+                Next::Opened => self.clients.opened(key),
                 Next::Query(length) => self.take_command(key, length),
                 Next::Close => {
                     self.close_client(key);
@@ -804,6 +823,7 @@
                 break;
             }
         }
+        self.part_with_resting();
         // Guards against a listen queue that is left unserved once any connection has given its descriptor back.
         if self.queue_waits || self.queue_more {
             self.accept();
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -13,16 +13,36 @@
     waiting: BTreeMap<u64, u64>,
     /// The `id` of each command in hand.
     ids: BTreeSet<String>,
-    /// Connections without a command in hand, by when they last had one or came.
+    /// Connections whose startup is not over, by when they came.
+    silent: BTreeSet<(Micros, u64)>,
+    /// Others without a command in hand, by when they last had one or came.
     resting: BTreeSet<(Micros, u64)>,
 }
 
 impl Clients {
     pub fn add(&mut self, key: u64, client: Client) {
-        self.resting.insert((client.used, key));
+        self.silent.insert((client.used, key));
         self.connections.insert(key, client);
     }
 
+    /// The startup of a connection is over.
+    pub fn opened(&mut self, key: u64) {
+        let Some(client) = self.connections.get(&key) else { return };
+        if self.silent.remove(&(client.used, key)) {
+            self.resting.insert((client.used, key));
+        }
+    }
+
+    /// Connections whose startup is over.
+    pub fn open(&self) -> usize {
+        self.connections.len() - self.silent.len()
+    }
+
+    /// The connection that came first of those whose startup is not over, and not since `before`.
+    pub fn most_silent(&self, before: Micros) -> Option<u64> {
+        self.silent.first().filter(|(came, _)| *came <= before).map(|(_, key)| *key)
+    }
+
     pub fn get(&mut self, key: u64) -> Option<&mut Client> {
         self.connections.get_mut(&key)
     }
@@ -84,6 +104,7 @@
     /// Gives a connection up, with the command that it waited for.
     pub fn remove(&mut self, key: u64) -> Option<(Client, Option<u64>)> {
         let client = self.connections.remove(&key)?;
+        self.silent.remove(&(client.used, key));
         self.resting.remove(&(client.used, key));
         let in_hand = client.in_hand.as_ref();
         if let Some(in_hand) = in_hand {
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -55,6 +55,8 @@
     Wait,
     /// It was answered here.
     Answered,
+    /// It was the startup.
+    Opened,
     /// A query of so many bytes stands at the front.
     Query(usize),
     /// The connection is of no more use.
@@ -233,7 +235,10 @@
             Ok(Some((STARTUP, length))) => {
                 self.consume(length);
                 self.phase = Phase::Open;
-                self.answer(&[frames::WELCOME, frames::READY])
+                match self.answer(&[frames::WELCOME, frames::READY]) {
+                    Next::Close => Next::Close,
+                    _ => Next::Opened,
+                }
             }
             Ok(Some((code, _))) if code >> 16 == 3 => self.refuse("0A000", "only protocol 3.0 is served"),
             // Cancel requests come on connections of their own and are not answered.
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -397,6 +397,19 @@
     }
 }
 
+/// Guards against clients that ask once and keep their connection, and leave none to those that ask.
+#[test]
+fn clients_that_rest_make_way_before_descriptors_run_out() {
+    let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
+    let (gateway, _changes) = gateway(&primary, &replica);
+    let mut clients: Vec<Client> = (0..18).map(|_| gateway.client()).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        assert!(matches!(client.query(&read(id as u32)), Reply::Value(_)));
+    }
+    assert_eq!([clients[0].reply(), clients[1].reply()], [Reply::Ended, Reply::Ended]);
+    assert!(matches!(clients[17].query(&read(18)), Reply::Value(_)));
+}
+
 /// Guards against a listen queue that is left unserved while idle connections hold all descriptors.
 #[test]
 fn idle_clients_make_way_when_descriptors_run_out() {
