Leave a slow member its room where few commands are out

A trace of the router once a second showed rooms of 0.2 to 1 at members whose answers waited 25 to 90 ms of a target of 110 ms with one command out at a time: 'ageing' and slow members, no queue. Ruled out: commands that stay counted as out (equal on the sockets), reports, members not well. At fault: learn(), which took any answer that waited 0.3 of its target for a queue that less room would mend.

Now that part rises from 0.3 to 0.75 as the rooms of all routers fall from a dozen commands to two.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -67,8 +67,7 @@
 const FAIL_SHARE: f64 = 0.5;
 /// Broken connections in a row that tell of their member: where one in five breaks, two often come by chance.
 const BREAKS: u32 = 3;
-/// After a failed connection others are preferred for so long, a retry or two; where there is no other, it is
-/// tried again after a few round trips.
+/// After a failed connection others are preferred for so long; without one, it is tried after a few trips.
 const SHUT_FOR: Micros = 2 * SECOND;
 const SHUT_RETRY: Micros = 30 * MILLI;
 /// Silence and patience: this many times the mean time of the command's kind; few good answers exceed it.
@@ -108,6 +107,8 @@
 const ROOM_LEAST: f64 = 0.2;
 /// Part of the response target spent waiting at a member that shrinks its room.
 const ROOM_WAIT: f64 = 0.3;
+/// So many commands at once hardly queue: what is slow then is a slow member, and less room won't mend it.
+const ROOM_FEW: f64 = 2.0;
 /// Parts of the room that a late answer takes and another adds while it is used: settles at a third late.
 const ROOM_SHRINK: f64 = 0.15;
 const ROOM_GROW: f64 = 0.075;
@@ -127,8 +128,7 @@
 const IN_TIME: f64 = 0.75;
 /// Part of the response target for which a command may be held for want of room before it is throttled.
 const HELD_MOST: f64 = 0.25;
-/// Part of the client's time after which a command that could not be sent at all is throttled where several
-/// members are out of reach: in the other half the client may try again, perhaps where the primary is.
+/// Part of the client's time to reach a member where several are out of reach; in the rest it may try again.
 const UNSENT_MOST: f64 = 0.45;
 /// Part of a primary's room that reads may fill: writes have nowhere else to go.
 const READ_ROOM: f64 = 0.5;
@@ -835,6 +835,7 @@
         // What a missed read needed when it was sent, and the server lacked until it sent it back.
         let bound = self.kinds.get(k).and_then(|kind| self.bound(dispatch.sent, &held.command, kind));
         let long = self.kinds.get(k).is_some_and(|kind| self.long(kind));
+        let routers = self.number("routers", 1.0);
         let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
         else {
             return;
@@ -847,9 +848,8 @@
             group.outcomes.add(now, DOUBT_HALF_LIFE, 1.0);
             let missed = outcome.ending == Ending::Missed && kind.need != Need::Write;
             let lost = matches!(outcome.ending, Ending::SentBack | Ending::TimedOut);
-            if missed || lost || outcome.took as f64 > target {
-                group.bad.add(now, DOUBT_HALF_LIFE, 1.0);
-            }
+            let bad = missed || lost || outcome.took as f64 > target;
+            group.bad.add(now, DOUBT_HALF_LIFE, if bad { 1.0 } else { 0.0 });
         }
         let lasted = matches!(outcome.ending, Ending::Answered | Ending::TimedOut) && !long;
         let queue = member.told_queue(dispatch.sent, QUEUE_TELLS).filter(|queue| lasted && *queue >= 0.5);
@@ -877,7 +877,8 @@
                     member.waiting = before + WAIT_WEIGHT * (waited - before);
                     member.waiting_at = now;
                 }
-                if waited > target * ROOM_WAIT {
+                let few = (ROOM_FEW / (member.room * routers)).sqrt();
+                if waited > target * (IN_TIME * few).clamp(ROOM_WAIT, IN_TIME) {
                     member.shrink();
                 } else if member.out.len() as f64 + 1.0 >= member.room / 2.0 {
                     member.room += ROOM_GROW * member.room.min(ROOM_SMALL);
@@ -976,9 +977,9 @@
             let sought = group.sought.is_some_and(|at| now <= at + SEARCH_FOR);
             // Guards against routers with little traffic that cost more in probes than in commands.
             let commands = group.commands.rate(now, COPY_HALF_LIFE);
+            let least = if self.seen.probes_lost_most { PROBE_MOST } else { PROBE_EVERY };
             let paced = (group.members.len() as f64 / (PROBE_SHARE * commands)) as Micros;
-            let paced =
-                if self.seen.probes_lost_most { PROBE_MOST } else { paced.clamp(PROBE_EVERY, PROBE_MOST) };
+            let paced = paced.clamp(least, PROBE_MOST);
             for server in &group.members {
                 let member = self.members.get_mut(server).filter(|m| m.serving && !m.probe_out);
                 let Some(member) = member else { continue };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -494,6 +494,28 @@
     assert!(taken >= 2);
 }
 
+#[test]
+fn a_slow_member_alone_with_a_command_is_not_held_back() {
+    // Guards against throttling what a slow member answers in time: how long it takes, and whether a command goes
+    // there as soon as the last one was answered.
+    for (took, at_once) in [(250, true), (490, false)] {
+        let mut store = Store::calm(&[]);
+        store.answered(MUTATING, 20, 20 * MS);
+        let mut held_back = 0;
+        for _ in 0..60 {
+            let mut held = store.command(MUTATING);
+            while !matches!(store.place(&held), Place::Dispatch { .. }) {
+                held_back += 1;
+                store.now += 100 * MS;
+                held = store.command(MUTATING);
+            }
+            store.put(&mut held, 0);
+            store.end(&mut held, Ending::Answered, took * MS);
+        }
+        assert_eq!(held_back == 0, at_once, "{took}: {held_back}");
+    }
+}
+
 #[test]
 fn probes_follow_the_commands() {
     // Guards against hundreds of routers that probe more than they route, and that search for nobody.
