Forget servers that are gone, and sessions after two minutes

Worse, the budget of a cold member was spread over all members that there ever were (warm_enough). Now a server is forgotten 30 s after the list called it gone, its number goes to the next, its idle connections are closed at once, and the router forgets a member told gone that serves no more and has nothing out.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -762,8 +762,14 @@
             self.resume.extend(self.clients.keys());
         }
         let mut entries = Vec::new();
+        let mut left_out = if list.whole { self.servers.there() } else { Vec::new() };
         for host in &list.hosts {
+            let gone = host.standing == Standing::Gone;
+            if gone && self.servers_named.find(&host.name).is_none() {
+                continue;
+            }
             let server = self.servers_named.of(&host.name);
+            left_out.retain(|known| *known != server);
             let zones = &self.deployment.zones;
             entries.push(Listed {
                 server,
@@ -774,17 +780,37 @@
                 primary: host.primary,
                 started: host.started,
             });
-            let stale = if host.standing == Standing::Gone {
-                Vec::new()
+            if gone {
+                left_out.push(server);
             } else {
-                self.servers.known(server, host.dial, host.started)
-            };
-            for key in stale {
-                self.close_line(key);
+                for key in self.servers.known(server, host.dial, host.started) {
+                    self.close_line(key);
+                }
             }
         }
         self.router.listed(now, Some(&entries), list.whole);
         self.router_due = now;
+        if self.deployment.gone_binds {
+            self.forget_gone(&left_out);
+        }
+    }
+
+    /// Notes which servers are gone, and forgets those that have been for long. Guards against a gateway and router
+    /// that grow with all the servers that there ever were.
+    fn forget_gone(&mut self, gone: &[usize]) {
+        let now = self.clock.now();
+        for server in gone {
+            for key in self.servers.gone(*server, now) {
+                self.close_line(key);
+            }
+        }
+        while let Some(server) = self.servers.forget(now) {
+            let (group, zone, size) = (usize::MAX, 0, 0.0);
+            let standing = Standing::Gone;
+            let gone = Listed { server, group, zone, size, standing, primary: false, started: None };
+            self.router.listed(now, Some(&[gone]), false);
+            self.servers_named.forget(server);
+        }
     }
 
     // --- Peers ---
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -1,6 +1,6 @@
 //! Servers with their addresses, and the connections to them. This is where a server's socket is given back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use tansyjunction::interface::Micros;
@@ -13,11 +13,20 @@
     started: Option<Micros>,
     /// Connections without a job, the most recently used last.
     idle: Vec<u64>,
+    /// How many connections there are.
+    lines: usize,
+    /// Since when it is gone.
+    gone: Option<Micros>,
 }
 
+/// A server that is gone is kept so long: far longer than a list that is late may still name it.
+const FORGET_AFTER: Micros = 30_000_000;
+
 #[derive(Default)]
 pub struct Servers {
     servers: BTreeMap<usize, Server>,
+    /// Those that are gone, the longest first.
+    gone: BTreeSet<(Micros, usize)>,
     lines: BTreeMap<u64, Line>,
     /// Which connection a dispatch is out on.
     out: BTreeMap<(u64, usize), u64>,
@@ -31,14 +40,42 @@
         let restarted = known.started != started;
         known.address = address.or(known.address);
         known.started = started;
+        if let Some(since) = known.gone.take() {
+            self.gone.remove(&(since, server));
+        }
         if moved || restarted { known.idle.clone() } else { Vec::new() }
     }
 
+    /// A server is gone; tells which idle connections are worth nothing now.
+    pub fn gone(&mut self, server: usize, now: Micros) -> Vec<u64> {
+        let Some(known) = self.servers.get_mut(&server) else { return Vec::new() };
+        let since = *known.gone.get_or_insert(now);
+        self.gone.insert((since, server));
+        known.idle.clone()
+    }
+
+    /// Those that are not gone.
+    pub fn there(&self) -> Vec<usize> {
+        let there = self.servers.iter().filter(|(_, known)| known.gone.is_none());
+        there.map(|(server, _)| *server).collect()
+    }
+
+    /// Forgets a server that has been gone for long and has no connection left.
+    pub fn forget(&mut self, now: Micros) -> Option<usize> {
+        let long = self.gone.range(..(now.saturating_sub(FORGET_AFTER), 0));
+        let unused = |server: &usize| self.servers.get(server).is_none_or(|known| known.lines == 0);
+        let (since, server) = long.copied().find(|(_, server)| unused(server))?;
+        self.gone.remove(&(since, server));
+        self.servers.remove(&server);
+        Some(server)
+    }
+
     pub fn address(&self, server: usize) -> Option<SocketAddr> {
         self.servers.get(&server)?.address
     }
 
     pub fn add(&mut self, key: u64, line: Line) {
+        self.servers.entry(line.server).or_default().lines += 1;
         self.lines.insert(key, line);
     }
 
@@ -103,7 +140,31 @@
         let line = self.lines.remove(&key)?;
         if let Some(server) = self.servers.get_mut(&line.server) {
             server.idle.retain(|idle| *idle != key);
+            server.lines -= 1;
         }
         Some(line)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_server_is_forgotten_only_long_after_it_is_gone() {
+        let mut servers = Servers::default();
+        let address = "127.0.0.1:9".parse().ok();
+        for server in 0..3 {
+            servers.known(server, address, None);
+        }
+        servers.gone(0, 10);
+        servers.gone(1, 20);
+        servers.gone(0, 30);
+        // It came back.
+        servers.known(1, address, None);
+        assert_eq!((servers.there(), servers.forget(FORGET_AFTER)), (vec![1, 2], None));
+        let late = FORGET_AFTER + 1_000;
+        assert_eq!([servers.forget(late), servers.forget(late)], [Some(0), None]);
+        assert_eq!((servers.address(0), servers.address(1)), (None, address));
+    }
+}
--- a/crates/gateway/src/memory/sessions.rs
+++ b/crates/gateway/src/memory/sessions.rs
@@ -5,9 +5,10 @@
 
 use tansyjunction::interface::Micros;
 
-/// After so long a session is forgotten: far longer than replicas lag, so that its writes are everywhere by then.
-/// Whoever gets its number inherits its last write, which asks for newer data than need be, never for older.
-const FORGET_AFTER: Micros = 3_600_000_000;
+/// After so long a session is forgotten: far longer than replicas lag, so that its writes are everywhere by then, and
+/// short enough that hundreds of new ones a second fit into the memory. Whoever gets its number inherits its last write,
+/// which asks for newer data than need be, never for older.
+const FORGET_AFTER: Micros = 120_000_000;
 
 #[derive(Default)]
 pub struct Sessions {
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -36,6 +36,8 @@
     pub known: Option<List>,
     pub zones: Vec<String>,
     pub command_groups: Vec<CommandGroup>,
+    /// Whether a server that the list calls gone is gone.
+    pub gone_binds: bool,
     /// How long any client waits at most.
     pub longest_wait: Micros,
     /// Whether probes bring a load report, and its fields.
@@ -146,6 +148,7 @@
                 .filter_map(|zone| zone.as_str().map(String::from))
                 .collect(),
             command_groups: command_groups.collect::<Result<_, String>>()?,
+            gone_binds: settings["guarantees"]["gone_is_advice"] != true,
             longest_wait,
             reports: matches!(settings["telemetry"]["how"].as_str(), Some("piggyback" | "pull")),
             connect_within: limit("dial_timeout")?.unwrap_or(250_000),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,8 +11,7 @@
 //! 1. Wellness: a member that is silent, refuses, or fails much of what it gets does not qualify.
 //! 2. Crowding: a member whose commands wait long does not qualify in its zone while another waits less;
 //!    long reads gather where data is old already, so that they don't crowd out the log elsewhere.
-//! 3. Copies: a read that outlasts its patience gets a second copy or another try, and so does what only the
-//!    primary takes and seems lost, out of a small budget.
+//! 3. Copies: a read that outlasts its patience, or a write that seems lost, gets another out of a budget.
 //! 4. Room: a member gets as many commands at once as it answers in time, and none beyond the queue that it
 //!    told when asked, as it is in a group that was late; the rest is held, then throttled.
 //! 5. Warming: a cold member gets this router's share of a budget that its size can bear.
@@ -210,9 +209,7 @@
     pub fn new(named: Named, seed: u64) -> Result<Self, String> {
         let mut router = Router { chance: Chance::new(seed), named, ..Router::default() };
         router.zone = router.number("zone", 0.0) as usize;
-        if router.text("list_mode") == "ask" {
-            router.watch_due = Some(0);
-        }
+        router.watch_due = (router.text("list_mode") == "ask").then_some(0);
         let count = router.number("command_groups", 0.0) as usize;
         if count == 0 {
             return Err("setting 'command_groups' names no command group".into());
@@ -297,6 +294,23 @@
         let turns = self.turns(shortest) as usize;
         for entry in entries {
             let first_turn = self.chance.below(turns) as Micros;
+            let gone = entry.standing == Standing::Gone;
+            if gone && !advice {
+                let known = self.members.get_mut(&entry.server);
+                if let Some(member) = known.filter(|m| m.serving || !m.out.is_empty()) {
+                    (member.serving, member.listed_primary) = (false, entry.primary);
+                } else {
+                    // It served no more, and nothing is out there: it is forgotten, and its number free.
+                    self.members.remove(&entry.server);
+                    for group in self.groups.values_mut() {
+                        group.members.retain(|server| *server != entry.server);
+                        group.primary = group.primary.filter(|server| *server != entry.server);
+                    }
+                    self.ties.retain(|_, tie| tie.0 != entry.server);
+                }
+                self.note_primary(entry.group);
+                continue;
+            }
             let group = self.groups.entry(entry.group).or_default();
             if !group.members.contains(&entry.server) {
                 group.members.push(entry.server);
@@ -304,14 +318,13 @@
             }
             let member =
                 self.members.entry(entry.server).or_insert_with(|| Member { room, ..Member::default() });
-            let gone = entry.standing == Standing::Gone;
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
                 member.started = entry.started;
                 member.turn = now + first_turn;
                 member.failures = Decaying::default();
             }
-            member.serving = entry.standing == Standing::Serving || gone && advice && member.serving;
+            member.serving = entry.standing == Standing::Serving || gone && member.serving;
             if !gone {
                 (member.group, member.zone, member.size) = (entry.group, entry.zone, entry.size.max(0.01));
             }
@@ -327,8 +340,7 @@
     pub fn probed(&mut self, now: Micros, server: usize, took: Micros, end: Ending, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&server) else { return };
         member.probe_out = false;
-        // Guards against probes that get lost or are turned away while commands are answered: where most
-        // fail, whoever is asked, they tell nothing of the member.
+        // Guards against probes that get lost while commands are answered: where most do, they tell nothing.
         let seen = &mut self.seen;
         seen.probes.add(now, PROBES_HALF_LIFE, 1.0);
         seen.probes_lost.add(now, PROBES_HALF_LIFE, if end == Ending::TimedOut { 1.0 } else { 0.0 });
@@ -370,10 +382,9 @@
             (member.queue, member.queue_told, self.seen.queues_told) = (queue, Some(now), true);
         }
         let group = member.group;
+        let claim = Some(report.position.unwrap_or(as_of).max(as_of));
         match report.primary {
-            Some(true) => {
-                member.claimed = member.claimed.max(Some(report.position.unwrap_or(as_of).max(as_of)))
-            }
+            Some(true) => member.claimed = member.claimed.max(claim),
             Some(false) => member.denied = member.denied.max(Some(as_of)),
             None => return,
         }
@@ -385,10 +396,8 @@
         let Some(group) = self.groups.get_mut(&group) else { return };
         let claims = group.members.iter().filter_map(|server| {
             let member = &self.members[server];
-            member
-                .claimed
-                .filter(|at| member.serving && member.denied.is_none_or(|no| no < *at))
-                .map(|at| (at, *server))
+            let claim = member.claimed.filter(|at| member.denied.is_none_or(|no| no < *at));
+            claim.filter(|_| member.serving).map(|at| (at, *server))
         });
         let primary = claims.max().map(|(_, server)| server);
         if primary != group.primary {
@@ -413,8 +422,7 @@
         let (out, late) = out.fold((0, 0), |(count, late), d| (count + 1, d.sent.max(late)));
         let read = !matches!(kind.need, Need::Write | Need::Fresh);
         if out > 0 {
-            // What only the primary takes gets its copy there too, but only once it seems lost: later
-            // dispatches were answered, and more time has passed than a slow answer takes.
+            // What only the primary takes gets a copy once it seems lost: later dispatches were answered.
             let proved = |d: &Dispatch| self.members.get(&d.server).is_some_and(|m| m.proved > d.sent);
             let lost = late + (kind.response_target as f64 * PATIENCE_MOST) as Micros <= now
                 && held.dispatches.iter().any(proved);
@@ -510,9 +518,7 @@
         } else if held.dispatches.iter().any(|d| matches!(d.ended, None | Some(Ending::Recalled))) {
             self.copies.add(now, COPY_HALF_LIFE, 1.0);
         }
-        if kind.need == Need::Session
-            && let Some(session) = cmd.session
-        {
+        if let Some(session) = cmd.session.filter(|_| kind.need == Need::Session) {
             let age = self.groups.get(&cmd.group).map_or(0, |group| group.age);
             self.ties.insert(session, (server, cmd.command_group, age));
         }
@@ -572,7 +578,7 @@
         untried.get(self.chance.below(untried.len())).copied()
     }
 
-    /// True where servers check themselves whether they are fresh enough for a read.
+    /// Where servers check themselves whether they are fresh enough for a read.
     fn guarded(&self) -> bool {
         matches!(self.text("guards"), "wait" | "refuse")
     }
@@ -695,8 +701,7 @@
         !member.fell_short(now, bound) && (member.position == 0 || likely >= bound)
     }
 
-    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet,
-    /// or it sent back a read that needed no more and has not reported progress since.
+    /// Guards against a round trip that must miss: even catching up fast it can't have reached `bound` yet.
     fn hopeless(&self, now: Micros, server: usize, bound: Micros) -> bool {
         let member = &self.members[&server];
         let gained = now.saturating_sub(member.placed) + REPORT_AGE;
@@ -722,15 +727,13 @@
         self.well(now, server) || self.busy(now, server)
     }
 
-    /// Silent for its queue alone, of which it told since. Guards against taking an overloaded member for a
-    /// stopped one: writes would be sent back by the others, and reads run again elsewhere.
+    /// Silent for its queue alone, of which it told. Guards against taking an overloaded one as stopped.
     fn busy(&self, now: Micros, server: usize) -> bool {
         let told = |m: &Member| m.told_queue(now, 2 * QUEUE_TELLS).is_some_and(|queue| queue >= 1.0);
         self.members.get(&server).is_some_and(|m| m.serving && told(m))
     }
 
-    /// Not well for failed connections alone, which may be this router's trouble: it may be tried again soon.
-    /// Guards against giving up a primary that serves the other routers; a dead one costs a few tries.
+    /// Not well for failed connections alone, perhaps this router's trouble: a primary is worth a try soon.
     fn only_shut(&self, now: Micros, server: usize) -> bool {
         let Some(member) = self.members.get(&server) else { return false };
         member.serving && !member.down && member.shut.is_some_and(|at| at + SHUT_RETRY <= now)
@@ -759,9 +762,8 @@
         open && in_time && self.warm_enough(now, member, kind)
     }
 
-    /// A cold member gets no more than this router's share of what the rule on cold servers allows. What
-    /// this router has answered by an average member, summed over all routers, is what such a member carries
-    /// at least; a busiest member would not do, since each router may have another.
+    /// A cold member gets no more than this router's share of what the rule on cold servers allows. What this
+    /// router has answered by an average member, summed over all, is what such a member carries at least.
     fn warm_enough(&self, now: Micros, member: &Member, kind: &Kind) -> bool {
         let part = self.cold_part(now, member);
         if part >= 1.0 {
@@ -769,7 +771,7 @@
         }
         let window = self.number("rules.fall_for", 0.0);
         let answered = self.seen.work.rate(now, WORK_HALF_LIFE);
-        let size: f64 = self.members.values().map(|m| m.size).sum();
+        let size: f64 = self.members.values().filter(|m| m.serving).map(|m| m.size).sum();
         let rate = answered / size * member.size;
         let budget = self.number("rules.fall_multiple", 1.0) * part * rate * window * WARMING_SHARE;
         let sent = member.sent_work.read(now, self.fall_half_life());
@@ -889,9 +891,7 @@
             }
             Ending::Missed => {
                 (member.answered_at, member.down) = (now, false);
-                if let Some(bound) = bound {
-                    member.short_of = Some((bound, now));
-                }
+                member.short_of = bound.map(|bound| (bound, now)).or(member.short_of);
             }
             Ending::SentBack => {
                 member.answered_at = now;
@@ -987,8 +987,7 @@
                 let every = if member.down { every.min(PROBE_DOWN) } else { every };
                 let next = member.probed.map_or(now, |at| at + every);
                 if next <= now {
-                    member.probed = Some(now);
-                    member.probe_out = true;
+                    (member.probed, member.probe_out) = (Some(now), true);
                     wait.probes.push(*server);
                 } else {
                     wait.micros = wait.micros.min(next - now);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -223,6 +223,65 @@
     assert_eq!(store.place(&held), Place::Never(Final::Throttled { come_back: 0 }));
 }
 
+#[test]
+fn a_member_told_gone_again_is_forgotten() {
+    // Guards against a router that grows with all the members that there ever were, and against one that takes a new
+    // member for the old one of that number: what is told of member 1, and whether its room starts anew.
+    use Standing::*;
+    for (told, anew) in
+        [(&[Gone, Serving][..], false), (&[Gone, Gone, Serving], true), (&[Gone, Gone, Gone, Serving], true)]
+    {
+        let mut store = Store::calm(&[]);
+        for _ in 0..60 {
+            let mut held = store.command(ANY);
+            store.put(&mut held, 1);
+            store.end(&mut held, Ending::Answered, 900 * MS);
+        }
+        for standing in told {
+            store.standing(1, *standing);
+        }
+        // Of the replicas only member 1 is young enough.
+        store.stands_still(2);
+        let mut there = 0;
+        for _ in 0..3 {
+            let held = store.command(BOUNDED);
+            there += usize::from(matches!(store.place(&held), Place::Dispatch { server: 1, .. }));
+        }
+        assert_eq!(there == 3, anew, "{told:?}: {there}");
+    }
+}
+
+#[test]
+fn a_member_that_was_never_there_leaves_nothing_when_it_is_gone() {
+    // Guards against a group that still counts a member that was forgotten under another group.
+    let mut store = Store::calm(&[]);
+    let entry = |server, group, standing| Listed {
+        server,
+        group,
+        zone: 0,
+        size: 1.0,
+        standing,
+        primary: true,
+        started: None,
+    };
+    use Standing::*;
+    // A whole list without the group, whose primary's number then goes to a server of another group.
+    store.router.listed(store.now, Some(&[]), true);
+    for (group, standing) in [(usize::MAX, Gone), (99, Serving)] {
+        store.router.listed(store.now, Some(&[entry(0, group, standing)]), false);
+    }
+    let held = store.command(MUTATING);
+    assert!(!matches!(store.place(&held), Place::Dispatch { server: 0, .. }));
+    let mut store = Store::calm(&[]);
+    for (server, group, standing) in
+        [(9, 99, Gone), (9, GROUP, Serving), (9, GROUP, Gone), (9, GROUP, Gone), (8, 99, Serving)]
+    {
+        store.router.listed(store.now, Some(&[entry(server, group, standing)]), false);
+        let held = store.command(MUTATING);
+        assert!(matches!(store.place(&held), Place::Dispatch { .. }));
+    }
+}
+
 #[test]
 fn nothing_goes_to_a_member_that_drains_or_is_gone() {
     for standing in [Standing::Draining, Standing::Gone] {
