Shut a member only for a connection refused since its last answer

Now a connection that never came up, or a lost probe, counts only where the member answered nothing else since it was sent, and a broken one shuts nobody: the next one to a dead process is refused. That takes out the count of breaks in a row.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,8 +64,6 @@
 const FAIL_HALF_LIFE: Micros = 3 * SECOND;
 /// Share of failures above which a member does not qualify: more often wrong than right.
 const FAIL_SHARE: f64 = 0.5;
-/// Broken connections in a row that tell of their member: where one in five breaks, two often come by chance.
-const BREAKS: u32 = 3;
 /// After a failed connection others are preferred for so long; without one, it is tried after a few trips.
 const SHUT_FOR: Micros = 2 * SECOND;
 const SHUT_RETRY: Micros = 30 * MILLI;
@@ -158,12 +156,10 @@
     }
 
     /// A connection to it failed or broke. Guards against shutting a member for those that idled too long or
-    /// broke alone: only several in a row, without an answer between, tell of the member.
-    fn refused(&mut self, now: Micros, ending: Ending) {
+    /// fell silent alone: only one refused since its last answer tells, as that of a dead one soon is.
+    fn refused(&mut self, now: Micros, sent: Micros, ending: Ending) {
         self.failures.add(now, FAIL_HALF_LIFE, 1.0);
-        self.breaks = if self.broke > self.answered_at { self.breaks + 1 } else { 1 };
-        self.broke = now;
-        if self.breaks >= BREAKS || ending == Ending::Unconnected {
+        if ending == Ending::Unconnected && self.answered_at <= sent {
             self.shut = Some(now);
         }
     }
@@ -340,6 +336,7 @@
     pub fn probed(&mut self, now: Micros, server: usize, took: Micros, end: Ending, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&server) else { return };
         member.probe_out = false;
+        let sent = member.probed.unwrap_or(now);
         // Guards against probes that get lost while commands are answered: where most do, they tell nothing.
         let seen = &mut self.seen;
         seen.probes.add(now, PROBES_HALF_LIFE, 1.0);
@@ -348,14 +345,14 @@
         seen.probes_lost_most = lost > FAIL_SHARE * seen.probes.read(now, PROBES_HALF_LIFE);
         match end {
             Ending::Answered => {
-                (member.down, member.broke) = (false, 0);
+                member.down = false;
                 let ping = member.ping.unwrap_or(took as f64);
                 member.ping = Some(ping + PING_WEIGHT * (took as f64 - ping));
             }
-            Ending::Unconnected | Ending::Reset => member.refused(now, end),
-            // Guards against a probe that never left, or brought nonsense, taking a member out.
+            Ending::Unconnected | Ending::Reset => member.refused(now, sent, end),
+            // Guards against a probe that never left, brought nonsense or alone was lost taking a member out.
             Ending::Unsent | Ending::Recalled => {}
-            _ => member.down = !seen.probes_lost_most,
+            _ => member.down = !seen.probes_lost_most && member.answered_at <= sent,
         }
         if let Some(report) = report {
             self.note(now, server, report, now.saturating_sub(REPORT_AGE));
@@ -918,7 +915,7 @@
                 member.failures.add(now, FAIL_HALF_LIFE, 1.0);
                 member.down = true;
             }
-            Ending::Unconnected | Ending::Reset => member.refused(now, outcome.ending),
+            Ending::Unconnected | Ending::Reset => member.refused(now, dispatch.sent, outcome.ending),
             // Guards against taking lost answers for a queue: where later ones were answered, room stays.
             Ending::TimedOut | Ending::Recalled
                 if member.proved <= dispatch.sent && outcome.took as f64 > target * ROOM_WAIT =>
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,9 +24,7 @@
     pub probed: Option<Micros>,
     pub probe_out: bool,
     pub down: bool,
-    /// When a connection to it last broke, how many did in a row, and when it was last taken for shut.
-    pub broke: Micros,
-    pub breaks: u32,
+    /// When a connection to it last failed.
     pub shut: Option<Micros>,
     pub answered_at: Micros,
     /// When the latest of the answered dispatches was sent.
