Keep a test's dead address off the port that the gateway may be given

a_write_goes_on_to_the_next_primary failed now and then: its closed port was handed out again as the gateway's own. It is taken from 127.0.0.2 now, where nothing else listens.

--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -138,7 +138,8 @@
 /// Guards against a dispatch that never left being taken for one that may have run.
 #[test]
 fn a_write_goes_on_to_the_next_primary_when_the_known_one_is_not_there() {
-    let dead = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    // Not at the address where all others listen: the gateway itself could be given the port that was free.
+    let dead = std::net::TcpListener::bind("127.0.0.2:0").and_then(|l| l.local_addr()).expect("a free port");
     let replica = Server::start(true, vec![value()]);
     let entries = [entry("s1", dead, "up", true), entry("s2", replica.address, "up", false)];
     let (discovery, _changes) = discovery(list(1, true, &entries));
