Let a router be cloned, marked and told its picks, for checkers that fork it

Expectations are to be checked against the module itself, from many states and over every random pick. Router is Clone now (settings shared), digest() hashes what answers depend on, picks() prescribes small draws; without them chance is drawn as before.

--- a/crates/gateway/src/run/clock.rs
+++ b/crates/gateway/src/run/clock.rs
@@ -20,8 +20,3 @@
         self.unix + self.started.elapsed().as_micros() as Micros
     }
 }
-
-/// A Unix time in milliseconds on this clock.
-pub fn at_millis(millis: u64) -> Micros {
-    millis.saturating_mul(1_000)
-}
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -6,9 +6,7 @@
 use serde_json::Value as Json;
 use tansyjunction::Router;
 use tansyjunction::interface::Micros;
-use tansyjunction_hosting::named;
-
-use crate::wire::directory::List;
+use tansyjunction_hosting::{List, named};
 
 /// Nanoseconds, the settings' unit, in a microsecond.
 const NANOS: f64 = 1_000.0;
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -6,9 +6,8 @@
 
 use calloop::RegistrationToken;
 use tansyjunction::interface::{Ending, Micros, Report};
-use tansyjunction_hosting::Reminder;
+use tansyjunction_hosting::{Reminder, at_millis};
 
-use crate::run::clock::at_millis;
 use crate::wire::bytes::{Inbox, Outbox, Reading};
 use crate::wire::frames;
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,6 +18,8 @@
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
 
 use crate::chance::Chance;
 use crate::decaying::Decaying;
@@ -180,10 +182,10 @@
     held.dispatches.iter().filter(|d| d.ended.is_some_and(|e| e != Ending::Missed)).count()
 }
 
-/// One gateway's router.
-#[derive(Default)]
+/// One gateway's router. A clone goes on from the same state by itself.
+#[derive(Clone, Default)]
 pub struct Router {
-    named: Named,
+    named: Arc<Named>,
     chance: Chance,
     zone: usize,
     kinds: Vec<Kind>,
@@ -203,7 +205,7 @@
 
 impl Router {
     pub fn new(named: Named, seed: u64) -> Result<Self, String> {
-        let mut router = Router { chance: Chance::new(seed), named, ..Router::default() };
+        let mut router = Router { chance: Chance::new(seed), named: Arc::new(named), ..Router::default() };
         router.zone = router.number("zone", 0.0) as usize;
         router.watch_due = (router.text("list_mode") == "ask").then_some(0);
         let count = router.number("command_groups", 0.0) as usize;
@@ -260,6 +262,17 @@
         })
     }
 
+    /// Prescribes the next draws, or with None leaves them to the seed again; returns what was prescribed before.
+    pub fn picks(&mut self, picks: Option<Picks>) -> Option<Picks> {
+        std::mem::replace(&mut self.chance.picks, picks)
+    }
+
+    /// Marks of what answers depend on beside settings and chance: routers with the same marks answer alike.
+    pub fn digest(&self, into: &mut impl Hasher) {
+        (&self.members, &self.groups, &self.ties, &self.written).hash(into);
+        (&self.kinds, &self.firsts, &self.copies, self.watch_due, &self.asked, &self.seen).hash(into);
+    }
+
     fn number(&self, name: &str, default: f64) -> f64 {
         if let Some(Value::Number(n)) = self.named.get(name) { *n } else { default }
     }
--- a/src/decaying.rs
+++ b/src/decaying.rs
@@ -4,8 +4,8 @@
 
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Decaying {
-    sum: f64,
-    at: Micros,
+    pub(crate) sum: f64,
+    pub(crate) at: Micros,
 }
 
 impl Decaying {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -144,6 +144,26 @@
     Over { recall: Vec<usize> },
 }
 
+/// Draws that a caller prescribes to a [`Router`](crate::Router) in place of chance, and those that were made. It
+/// serves checkers that try every pick in turn; a gateway has none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Picks {
+    /// Only draws below a bound of 2 to this many are prescribed; wider ones stay with the seed.
+    pub most: usize,
+    /// What the draws give, in turn; those beyond give 0.
+    pub told: Vec<usize>,
+    /// The draws made: below what, and what they gave.
+    pub drawn: Vec<(usize, usize)>,
+}
+
+impl Picks {
+    pub(crate) fn next(&mut self, bound: usize) -> usize {
+        let drawn = self.told.get(self.drawn.len()).map_or(0, |told| (*told).min(bound - 1));
+        self.drawn.push((bound, drawn));
+        drawn
+    }
+}
+
 /// How long to wait, and what is due before that.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Wait {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod chance;
 mod decaying;
 pub mod interface;
+mod marks;
 mod state;
 
 pub use balance::Router;
--- /dev/null
+++ b/src/marks.rs
@@ -0,0 +1,53 @@
+//! Hashes of a router's plain values, so that a caller can tell states that it has met before. Every field is named, so
+//! that none that is added later can be forgotten here.
+
+use std::hash::{Hash, Hasher};
+
+use crate::decaying::Decaying;
+use crate::state::*;
+
+impl Hash for Decaying {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Decaying { sum, at } = self;
+        (sum.to_bits(), at).hash(state);
+    }
+}
+
+impl Hash for Member {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Member { group, zone, size, serving, started, listed_primary, claimed, denied, position, .. } =
+            self;
+        (group, zone, size.to_bits(), serving, started, listed_primary, claimed, denied, position)
+            .hash(state);
+        let Member { placed, short_of, ping, probed, probe_out, down, shut, answered_at, proved, .. } = self;
+        (placed, short_of, ping.map(f64::to_bits), probed, probe_out, down, shut).hash(state);
+        (answered_at, proved).hash(state);
+        let Member { failures, answers, waiting, waiting_at, queue, queue_told, out, room, .. } = self;
+        (failures, answers, waiting.to_bits(), waiting_at, queue.to_bits(), queue_told).hash(state);
+        (out, room.to_bits()).hash(state);
+        let Member { sent, usual, turn, sent_work, .. } = self;
+        (sent, usual.to_bits(), turn, sent_work).hash(state);
+    }
+}
+
+impl Hash for Group {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Group { members, primary, age, commands, last_command, sought, bad, outcomes } = self;
+        (members, primary, age, commands, last_command, sought, bad, outcomes).hash(state);
+    }
+}
+
+impl Hash for Kind {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        // The rest stands in the settings.
+        (self.prompt.to_bits(), self.mean.to_bits(), self.seen.to_bits()).hash(state);
+    }
+}
+
+impl Hash for Seen {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Seen { queues_told, queue_base, queue_step, probes, probes_lost, probes_lost_most, work } = self;
+        (queues_told, queue_base.to_bits(), queue_step.to_bits(), probes, probes_lost).hash(state);
+        (probes_lost_most, work).hash(state);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,7 +100,7 @@
 }
 
 /// What a router has seen of all servers together.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Seen {
     /// Some server told its queue; what a told queue means for the waiting, and what each command in it adds.
     pub queues_told: bool,
