--- /dev/null
+++ b/crates/cli/src/line.rs
@@ -0,0 +1,92 @@
+//! The command line.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use tansyjunction_gateway::{Deployment, serve};
+use tansyjunction_settings::Program;
+
+use crate::{expect, log};
+
+#[derive(Parser)]
+#[command(name = "tansyjunction", version, about = "Steers reads and writes in replicated stores")]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve clients until told to stop by SIGTERM; SIGHUP has the configuration read anew.
+    Serve(Source),
+    /// Read the configuration and the settings as `serve` does, and say what is wrong with them.
+    Check(Source),
+    /// Check what is expected of where commands go, without sending any.
+    Expect(expect::Line),
+    /// Write a shell's completions to standard output.
+    Completions { shell: Shell },
+    /// Write the manual page to standard output.
+    Man,
+    /// Tell the version.
+    Version,
+}
+
+#[derive(Args)]
+struct Source {
+    /// The configuration, as JSON; without it, the file that BALANCER_CONFIG names.
+    #[arg(long)]
+    config: Option<PathBuf>,
+    /// The program's own settings, as INI; without them all have their defaults.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+}
+
+impl Source {
+    fn program(&self) -> Result<Program, String> {
+        Program::open(self.settings.as_deref()).map_err(|fault| fault.to_string())
+    }
+}
+
+pub fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Expect(line) => return expect::main(line),
+        Command::Serve(source) => source.program().and_then(|program| {
+            log::start(&program.log)?;
+            serve(source.config)
+        }),
+        Command::Check(source) => source.program().and_then(|_| {
+            let deployment = Deployment::read(source.config.as_deref())?;
+            print(&format!("{deployment}\n"))
+        }),
+        Command::Completions { shell } => {
+            let mut out = Vec::new();
+            clap_complete::generate(shell, &mut Line::command(), "tansyjunction", &mut out);
+            print(&String::from_utf8_lossy(&out))
+        }
+        Command::Man => {
+            let mut out = Vec::new();
+            let rendered = clap_mangen::Man::new(Line::command()).render(&mut out);
+            rendered.map_err(|error| error.to_string()).and_then(|()| print(&String::from_utf8_lossy(&out)))
+        }
+        Command::Version => print(&format!("tansyjunction {}\n", env!("CARGO_PKG_VERSION"))),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("tansyjunction: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Writes to standard output. Guards against a panic where whoever reads it has gone.
+pub fn print(text: &str) -> Result<(), String> {
+    let mut out = std::io::stdout().lock();
+    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+        Err(error) if error.kind() != std::io::ErrorKind::BrokenPipe => Err(error.to_string()),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,11 @@
+//! tansyjunction: steers reads and writes in replicated stores.
+
+mod expect;
+mod line;
+mod log;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    line::main()
+}
--- /dev/null
+++ b/crates/expect/src/check.rs
@@ -0,0 +1,154 @@
+//! One check from files to verdicts.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use tansyjunction::Router;
+use tansyjunction::interface::Named;
+use tansyjunction_settings::{Expecting, Fault, Ini, Program};
+
+use crate::contradiction;
+use crate::coverage::{self, Gap};
+use crate::expectation::{self, Expectation, Suite};
+use crate::explore::{self, Bounds, Counterexample, Found, Make, Tally, named_by};
+use crate::judge;
+use crate::scope::Scope;
+use crate::steer::Steer;
+use crate::subject::Subject;
+
+/// Files that belong together: a configuration, the expectations and worlds beside it, the program's settings.
+pub struct Input {
+    pub subject: Arc<Subject>,
+    pub suite: Suite,
+    pub files: Vec<Ini>,
+    pub bounds: Expecting,
+    /// Where the program's settings stand; empty: there are none.
+    pub settings_file: String,
+}
+
+impl Input {
+    pub fn open(config: &Path, files: &[PathBuf], settings: Option<&Path>) -> Result<Input, String> {
+        let said = |fault: Fault| fault.to_string();
+        let program = Program::open(settings).map_err(said)?;
+        let subject = Subject::open(config)?;
+        let files = files.iter().map(|path| Ini::open(path)).collect::<Result<Vec<_>, _>>().map_err(said)?;
+        let settings_file = settings.map(|path| path.display().to_string()).unwrap_or_default();
+        Input::read(subject, files, program.expect, settings_file).map_err(said)
+    }
+
+    pub fn read(
+        mut subject: Subject,
+        files: Vec<Ini>,
+        bounds: Expecting,
+        settings_file: String,
+    ) -> Result<Input, Fault> {
+        expectation::add_servers(&mut subject, &files)?;
+        let suite = Suite::read(&files, &subject, &bounds)?;
+        Ok(Input { subject: Arc::new(subject), suite, files, bounds, settings_file })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    Holds,
+    /// It fails before any run.
+    Contradicts(Fault),
+    /// A run breaks it.
+    Broken(Box<Counterexample>),
+    /// No run goes where some run must be able to.
+    NotReached {
+        key: &'static str,
+        why: String,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Checked {
+    pub name: String,
+    pub verdict: Verdict,
+    pub tally: Tally,
+}
+
+/// The verdicts on a whole suite.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub config: String,
+    pub checked: Vec<Checked>,
+    /// Contradictions of worlds and settings, which no single expectation has.
+    pub faults: Vec<Fault>,
+    pub gaps: Vec<Gap>,
+    pub tally: Tally,
+}
+
+impl Report {
+    pub fn holds(&self) -> bool {
+        self.faults.is_empty() && self.checked.iter().all(|one| matches!(one.verdict, Verdict::Holds))
+    }
+}
+
+/// The router itself.
+pub fn router(named: &Named, seed: u64) -> Result<Router, String> {
+    Router::new(named.clone(), seed)
+}
+
+/// Checks all expectations; `stop` tells when the time is over. Input that can't be used at all is an error.
+pub fn check<S: Steer>(input: &Input, stop: &dyn Fn() -> bool, make: Make<S>) -> Result<Report, String> {
+    let Input { subject, suite, .. } = input;
+    if suite.expectations.is_empty() {
+        return Err("there is no [expectation NAME] in the files".into());
+    }
+    if subject.servers.is_empty() {
+        return Err(format!("{}: 'known' lists no server, and no file describes one", subject.file));
+    }
+    let contradictions = contradiction::all(subject, suite);
+    let mut report = Report {
+        config: subject.file.clone(),
+        checked: Vec::new(),
+        faults: judge::settings_lag(subject, &input.bounds, &input.settings_file).into_iter().collect(),
+        gaps: coverage::gaps(subject, suite),
+        tally: Tally::default(),
+    };
+    for (place, expectation) in suite.expectations.iter().enumerate() {
+        let contradicts = contradictions.iter().find(|c| c.expectation == Some(place));
+        let (verdict, tally) = match contradicts {
+            Some(found) => (Verdict::Contradicts(found.fault.clone()), Tally::default()),
+            None => {
+                let bounds = Bounds { runs: input.bounds.runs, stop };
+                let found = explore::expectation(subject, &suite.worlds, expectation, &bounds, make)?;
+                (verdict(input, expectation, &found), found.tally)
+            }
+        };
+        report.tally.add(&tally);
+        report.checked.push(Checked { name: expectation.name.clone(), verdict, tally });
+    }
+    let others = contradictions.into_iter().filter(|c| c.expectation.is_none());
+    report.faults.extend(others.map(|c| c.fault));
+    Ok(report)
+}
+
+fn verdict(input: &Input, expectation: &Expectation, found: &Found) -> Verdict {
+    if let Some(counterexample) = &found.counterexample {
+        return Verdict::Broken(Box::new(counterexample.clone()));
+    }
+    let named = |scope: &Scope| named_by(&input.subject, &input.suite.worlds, expectation, scope);
+    let name = |server: &usize| input.subject.servers[*server].name.as_str();
+    let within = match &found.tally.cut_short {
+        Some(why) => format!("; the search was not exhaustive: {why}"),
+        None => String::new(),
+    };
+    if let Some(scope) = &expectation.must.may {
+        let mut never: Vec<usize> =
+            named(scope).into_iter().filter(|s| !found.seen.any.contains(s)).collect();
+        never.sort_unstable();
+        if !never.is_empty() {
+            let names = never.iter().map(name).collect::<Vec<_>>().join(", ");
+            return Verdict::NotReached { key: "may", why: format!("no run goes to {names}{within}") };
+        }
+    }
+    if let Some(scope) = &expectation.must.some
+        && !named(scope).iter().any(|server| found.seen.any.contains(server))
+    {
+        return Verdict::NotReached { key: "some", why: format!("no run goes to '{}'{within}", scope.text) };
+    }
+    Verdict::Holds
+}
--- /dev/null
+++ b/crates/expect/src/contradiction.rs
@@ -0,0 +1,233 @@
+//! What is wrong with expectations before any run: more lag allowed than a command group permits, two that can't both
+//! hold, and those that can never apply.
+
+use std::sync::Arc;
+
+use tansyjunction_settings::Fault;
+
+use crate::expectation::{Expectation, Limit, Suite};
+use crate::explore::{from_zone, named_by};
+use crate::judge::lag_beyond_bound;
+use crate::scope::{Scope, Term};
+use crate::state::{self, Described};
+use crate::subject::{Effect, Need, Subject};
+use crate::truth::Happens;
+use crate::world::BEGIN;
+
+/// Why an expectation fails before any run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Contradiction {
+    /// Its place among the expectations; None: it lies in a world or in the settings.
+    pub expectation: Option<usize>,
+    pub fault: Fault,
+}
+
+pub fn all(subject: &Arc<Subject>, suite: &Suite) -> Vec<Contradiction> {
+    let mut found = Vec::new();
+    for (place, expectation) in suite.expectations.iter().enumerate() {
+        let faults = [lag(subject, expectation), vacuous(subject, &suite.worlds, expectation)];
+        let faults = faults.into_iter().flatten().chain(itself(subject, &suite.worlds, expectation));
+        found.extend(faults.map(|fault| Contradiction { expectation: Some(place), fault }));
+    }
+    for world in &suite.worlds {
+        found.extend(world_lag(subject, world).map(|fault| Contradiction { expectation: None, fault }));
+    }
+    for (place, one) in suite.expectations.iter().enumerate() {
+        for other in &suite.expectations[..place] {
+            if let Some(fault) = both(subject, &suite.worlds, other, one) {
+                found.push(Contradiction { expectation: Some(place), fault });
+                break;
+            }
+        }
+    }
+    found
+}
+
+/// Scopes that say where commands may go.
+fn allowing(expectation: &Expectation) -> impl Iterator<Item = (&'static str, &Scope)> {
+    let must = &expectation.must;
+    let scopes = [("only", &must.only), ("may", &must.may), ("some", &must.some)];
+    scopes.into_iter().filter_map(|(key, scope)| Some((key, scope.as_ref()?)))
+}
+
+fn lag(subject: &Subject, expectation: &Expectation) -> Option<Fault> {
+    let mut scopes = allowing(expectation);
+    scopes.find_map(|(key, scope)| {
+        let message = lag_beyond_bound(subject, scope.lag_allowed()?, &expectation.commands)?;
+        Some(expectation.section.fault_at(key, message))
+    })
+}
+
+/// A world that allows a replica more lag than some command group that reads from replicas permits.
+fn world_lag(subject: &Subject, world: &Described) -> Option<Fault> {
+    let all: Vec<usize> = (0..subject.command_groups.len()).collect();
+    world.lag_allowed.iter().find_map(|(server, allowed)| {
+        let message = lag_beyond_bound(subject, *allowed, &all)?;
+        let key = format!("server.{}", subject.servers[*server].name);
+        Some(world.section.fault_at(&key, message))
+    })
+}
+
+/// An expectation that no run can break or meet.
+fn vacuous(subject: &Arc<Subject>, worlds: &[Described], expectation: &Expectation) -> Option<Fault> {
+    let section = &expectation.section;
+    let mut any = false;
+    for zone in &expectation.zones {
+        let subject = from_zone(subject, *zone);
+        for shard in &expectation.shards {
+            for state in &expectation.states {
+                let starts = state::starts(&subject, worlds, state, *shard);
+                any |= !starts.is_empty();
+                if starts.is_empty() && expectation.states.len() == 1 && expectation.shards.len() == 1 {
+                    let (state, shard) = (state::name(state, worlds), &subject.shards[*shard]);
+                    return Some(section.fault_at("in", format!("shard {shard} has no world '{state}'")));
+                }
+            }
+        }
+    }
+    if !any {
+        return Some(section.fault("it never applies: there is no server, or no world of its states"));
+    }
+    let must = &expectation.must;
+    for (key, scope) in
+        [("only", &must.only), ("never", &must.never), ("may", &must.may), ("some", &must.some)]
+    {
+        let Some(scope) = scope else { continue };
+        if !may_arise(scope, expectation) && named_by(subject, worlds, expectation, scope).is_empty() {
+            let message = format!("it never applies: no server is '{}' in any of its worlds", scope.text);
+            return Some(section.fault_at(key, message));
+        }
+    }
+    let groups = || expectation.commands.iter().map(|k| &subject.command_groups[*k]);
+    if must.own_zone_first && groups().all(|group| matches!(group.need, Need::Write | Need::Fresh)) {
+        return Some(
+            section.fault_at("own_zone_first", "it never applies: these commands go to the primary"),
+        );
+    }
+    if must.once && groups().all(|group| group.effect == Effect::Replayable) {
+        return Some(section.fault_at("once", "it never applies: these commands may be repeated freely"));
+    }
+    let more = subject.figures.max_dispatches;
+    if must.tries.is_some_and(|tries| tries >= more) {
+        return Some(
+            section.fault_at("tries", format!("it never applies: no command has more than {more} tries")),
+        );
+    }
+    let longest =
+        groups().map(|group| group.client_timeout).max().unwrap_or(0) + subject.figures.answer_grace;
+    for (key, limit) in [("answered", must.answered), ("throttled", must.throttled), ("failed", must.failed)]
+    {
+        if let Some(Limit::Within(time)) = limit
+            && time > longest
+        {
+            let message = "it never applies: clients do not wait that long";
+            return Some(section.fault_at(key, message));
+        }
+    }
+    (must.held.is_some_and(|held| held > longest))
+        .then(|| section.fault_at("held", "it never applies: clients do not wait that long"))
+}
+
+/// Roles may change in the middle of a run, so that a scope may fit where it did not at the beginning.
+fn may_arise(scope: &Scope, expectation: &Expectation) -> bool {
+    let changing = expectation.faults.contains(&Happens::Change);
+    let role = |term: &Term| matches!(term, Term::Primary | Term::Replica);
+    changing && scope.phrases.iter().flatten().any(role)
+}
+
+/// An expectation that contradicts itself.
+fn itself(subject: &Arc<Subject>, worlds: &[Described], expectation: &Expectation) -> Option<Fault> {
+    both(subject, worlds, expectation, expectation)
+}
+
+/// Why two expectations can't both hold, where they speak of the same commands in the same worlds.
+fn both(
+    subject: &Arc<Subject>,
+    worlds: &[Described],
+    one: &Expectation,
+    other: &Expectation,
+) -> Option<Fault> {
+    let common = |a: &[usize], b: &[usize]| a.iter().copied().filter(|x| b.contains(x)).collect::<Vec<_>>();
+    let (shards, zones) = (common(&one.shards, &other.shards), common(&one.zones, &other.zones));
+    let commands = common(&one.commands, &other.commands);
+    if commands.is_empty() || one.session != other.session {
+        return None;
+    }
+    let said = |key: &str, message: String| {
+        let same = std::ptr::eq(one, other);
+        let with = if same { "itself".into() } else { format!("[{}]", one.section.name) };
+        Some(other.section.fault_at(key, format!("{message}; it can't hold together with {with}")))
+    };
+    for state in one.states.iter().filter(|state| other.states.contains(state)) {
+        for shard in &shards {
+            for zone in &zones {
+                let subject = from_zone(subject, *zone);
+                for start in state::starts(&subject, worlds, state, *shard) {
+                    let in_world = |scope: &Scope| -> Vec<usize> {
+                        let fits = |s: &usize| scope.has(&subject, *s, &start.truths[*s], BEGIN);
+                        subject.members(*shard).filter(fits).collect()
+                    };
+                    if let Some((key, message)) = disjoint(&subject, one, other, &in_world) {
+                        return said(key, format!("{message} ({})", start.name));
+                    }
+                }
+            }
+        }
+    }
+    let ends = [
+        ("answered", one.must.answered, other.must.answered),
+        ("throttled", one.must.throttled, other.must.throttled),
+        ("failed", one.must.failed, other.must.failed),
+    ];
+    let shared =
+        !shards.is_empty() && !zones.is_empty() && one.states.iter().any(|s| other.states.contains(s));
+    for (key, a, b) in ends {
+        let never = |limit: Option<Limit>| limit == Some(Limit::Never);
+        if shared && (never(a) && b == Some(Limit::Always) || never(b) && a == Some(Limit::Always)) {
+            return said(key, "always and never".into());
+        }
+    }
+    let always = |expectation: &Expectation| {
+        let must = &expectation.must;
+        let all = [("answered", must.answered), ("throttled", must.throttled), ("failed", must.failed)];
+        all.into_iter().find(|(_, limit)| *limit == Some(Limit::Always)).map(|(key, _)| key)
+    };
+    match (always(one), always(other)) {
+        (Some(a), Some(b)) if a != b && shared => said(b, format!("always {a} and always {b}")),
+        _ => None,
+    }
+}
+
+/// Two expectations of one world that leave no server, or that demand one which the other forbids.
+fn disjoint(
+    subject: &Subject,
+    one: &Expectation,
+    other: &Expectation,
+    in_world: &dyn Fn(&Scope) -> Vec<usize>,
+) -> Option<(&'static str, String)> {
+    let forbidden = |expectation: &Expectation, server: usize| {
+        let must = &expectation.must;
+        must.only.as_ref().is_some_and(|only| !in_world(only).contains(&server))
+            || must.never.as_ref().is_some_and(|never| in_world(never).contains(&server))
+    };
+    for (a, b) in [(one, other), (other, one)] {
+        if let Some(only) = &a.must.only {
+            let left = in_world(only);
+            if !left.is_empty() && left.iter().all(|server| forbidden(b, *server)) {
+                return Some(("only", format!("no server is left of '{}'", only.text)));
+            }
+        }
+        for (key, scope) in [("may", &a.must.may), ("some", &a.must.some)] {
+            let Some(scope) = scope else { continue };
+            let named = in_world(scope);
+            let barred: Vec<usize> = named.iter().copied().filter(|server| forbidden(b, *server)).collect();
+            // A server that one must reach in some world may be forbidden in another, but not in all that are told.
+            let whole = if key == "may" { !barred.is_empty() } else { barred.len() == named.len() };
+            if whole && !barred.is_empty() && a.states.len() == 1 {
+                let name = &subject.servers[barred[0]].name;
+                return Some((key, format!("{name} must be reached and must not")));
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/expect/src/expectation.rs
@@ -0,0 +1,257 @@
+//! Expectations as they stand in a file: which commands, in which states of the world, and what must hold.
+
+use tansyjunction::interface::Micros;
+use tansyjunction_settings::{Expecting, Fault, Ini, Section, duration, flag, list, one_of, unknown, whole};
+
+use crate::scope::{self, Scope};
+use crate::state::{self, Described, STATES, State};
+use crate::subject::Subject;
+use crate::truth::{FAULTS, Happens};
+
+/// Faults of one run that can be asked for, and commands at once.
+const FAULTS_MOST: u64 = 4;
+const AT_ONCE_MOST: u64 = 200;
+
+/// How a command may end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    Never,
+    Always,
+    /// If so, then within this time of its arrival, in microseconds.
+    Within(Micros),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Must {
+    pub only: Option<Scope>,
+    pub never: Option<Scope>,
+    /// Each of these servers is reached by some run; any of them is.
+    pub may: Option<Scope>,
+    pub some: Option<Scope>,
+    /// The client's zone is not left while a server there qualifies.
+    pub own_zone_first: bool,
+    /// Dispatches of a command at most.
+    pub tries: Option<usize>,
+    /// Never sent again once it may have run.
+    pub once: bool,
+    pub answered: Option<Limit>,
+    pub throttled: Option<Limit>,
+    pub failed: Option<Limit>,
+    /// The longest that it is kept without a dispatch, in microseconds.
+    pub held: Option<Micros>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Expectation {
+    pub name: String,
+    pub section: Section,
+    pub commands: Vec<usize>,
+    pub shards: Vec<usize>,
+    pub zones: Vec<usize>,
+    /// Whether commands belong to a session, and how long before it last wrote, in microseconds.
+    pub session: bool,
+    pub written_ago: Option<Micros>,
+    pub states: Vec<State>,
+    pub faults: Vec<Happens>,
+    /// How many of those faults one run may meet.
+    pub fault_count: usize,
+    pub seeds: u64,
+    /// Commands that come at once; the last is looked at.
+    pub at_once: usize,
+    pub must: Must,
+}
+
+/// All that the files say.
+#[derive(Clone, Debug, Default)]
+pub struct Suite {
+    pub expectations: Vec<Expectation>,
+    pub worlds: Vec<Described>,
+}
+
+const KEYS: [&str; 20] = [
+    "commands",
+    "shards",
+    "zones",
+    "session",
+    "in",
+    "faults",
+    "fault_count",
+    "seeds",
+    "at_once",
+    "only",
+    "never",
+    "may",
+    "some",
+    "own_zone_first",
+    "tries",
+    "once",
+    "answered",
+    "throttled",
+    "failed",
+    "held",
+];
+
+/// Keys that say what must hold.
+const MUST: [&str; 11] = [
+    "only",
+    "never",
+    "may",
+    "some",
+    "own_zone_first",
+    "tries",
+    "once",
+    "answered",
+    "throttled",
+    "failed",
+    "held",
+];
+
+/// Adds the servers that files describe, `[server NAME]`, to those that the configuration lists.
+pub fn add_servers(subject: &mut Subject, files: &[Ini]) -> Result<(), Fault> {
+    for section in files.iter().flat_map(|file| &file.sections) {
+        let ("server", name) = section.kind() else { continue };
+        section.only(&["shard", "zone", "size", "role"])?;
+        if name.is_empty() {
+            return Err(section.fault("a server wants a name: [server NAME]"));
+        }
+        let shard = section.entry("shard").ok_or_else(|| section.fault("'shard' is missing"))?;
+        let zone = section.value("zone", |text| scope::zone(subject, text))?;
+        let size = section.value("size", tansyjunction_settings::number)?.unwrap_or(1.0);
+        let roles = [("primary", true), ("replica", false)];
+        let primary = section.value("role", |text| one_of("role", text, &roles))?.unwrap_or(false);
+        let standing = tansyjunction::interface::Standing::Serving;
+        let zone = zone.unwrap_or(subject.own_zone);
+        let added = subject.add(name, &shard.value.clone(), zone, size, standing, primary);
+        added.map_err(|message| section.fault(message))?;
+    }
+    Ok(())
+}
+
+impl Suite {
+    /// Reads worlds and expectations; servers have been added before.
+    pub fn read(files: &[Ini], subject: &Subject, bounds: &Expecting) -> Result<Suite, Fault> {
+        let mut suite = Suite::default();
+        let sections = || files.iter().flat_map(|file| &file.sections);
+        for section in sections() {
+            match section.kind().0 {
+                "world" => suite.worlds.push(state::describe(section, subject)?),
+                "expectation" | "server" => {}
+                other => {
+                    let known = ["expectation", "world", "server"].into_iter();
+                    return Err(section.fault(unknown("kind of section", other, known)));
+                }
+            }
+        }
+        for section in sections().filter(|section| section.kind().0 == "expectation") {
+            let read = expectation(section, subject, &suite.worlds, bounds)?;
+            if suite.expectations.iter().any(|other| other.name == read.name) {
+                return Err(section.fault("another expectation has this name"));
+            }
+            suite.expectations.push(read);
+        }
+        Ok(suite)
+    }
+}
+
+/// Reads a section `[expectation NAME]`.
+pub fn expectation(
+    section: &Section,
+    subject: &Subject,
+    worlds: &[Described],
+    bounds: &Expecting,
+) -> Result<Expectation, Fault> {
+    let (_, name) = section.kind();
+    if name.is_empty() {
+        return Err(section.fault("an expectation wants a name: [expectation NAME]"));
+    }
+    section.only(&KEYS)?;
+    if !MUST.iter().any(|key| section.entry(key).is_some()) {
+        return Err(section.fault(format!("nothing must hold; keys for that are {}", MUST.join(", "))));
+    }
+    // A list of names, or a star for all that there are.
+    let all = |key: &str, absent: &str, count: usize, read: &dyn Fn(&str) -> Result<usize, String>| {
+        let text = section.entry(key).map_or(absent, |entry| entry.value.as_str());
+        match text {
+            "*" => Ok((0..count).collect()),
+            text => list(text)
+                .and_then(|names| names.iter().map(|name| read(name)).collect::<Result<Vec<_>, _>>()),
+        }
+        .map_err(|message| section.fault_at(key, message))
+    };
+    if section.entry("commands").is_none() {
+        return Err(section.fault("'commands' is missing"));
+    }
+    let commands = all("commands", "*", subject.command_groups.len(), &|n| scope::command_group(subject, n))?;
+    let shards = all("shards", "*", subject.shards.len(), &|name| scope::shard(subject, name))?;
+    let own = subject.zones[subject.own_zone].clone();
+    let zones = all("zones", &own, subject.zones.len(), &|name| scope::zone(subject, name))?;
+    let states = section.value("in", |text| match text {
+        "*" => Ok(STATES.iter().map(|(_, state)| state.clone()).collect()),
+        text => list(text)?.iter().map(|name| state::read(name, worlds)).collect::<Result<Vec<_>, _>>(),
+    })?;
+    let faults = section.value("faults", |text| match text {
+        "none" => Ok(Vec::new()),
+        "*" => Ok(FAULTS.iter().map(|(_, fault)| *fault).collect()),
+        text => list(text)?.iter().map(|name| one_of("fault", name, &FAULTS)).collect::<Result<Vec<_>, _>>(),
+    })?;
+    let up_to = |most: u64| {
+        move |text: &str| match whole(text)? {
+            n if n > most => Err(format!("{n} is more than {most}")),
+            n => Ok(n as usize),
+        }
+    };
+    let session = section.value("session", |text| match text {
+        "none" => Ok((false, None)),
+        "any" => Ok((true, None)),
+        text => match text.strip_prefix("wrote ").and_then(|rest| rest.strip_suffix(" ago")) {
+            Some(ago) => Ok((true, Some(duration(ago)?))),
+            None => Err(format!("'{text}' is neither none, any nor 'wrote TIME ago'")),
+        },
+    })?;
+    let scoped = |key: &str| section.value(key, |text| Scope::read(text, subject));
+    let limit = |key: &str| {
+        section.value(key, |text| match text {
+            "never" => Ok(Limit::Never),
+            "always" => Ok(Limit::Always),
+            text => match text.strip_prefix("within ") {
+                Some(time) => duration(time).map(Limit::Within),
+                None => Err(format!("'{text}' is neither never, always nor 'within TIME'")),
+            },
+        })
+    };
+    let must = Must {
+        only: scoped("only")?,
+        never: scoped("never")?,
+        may: scoped("may")?,
+        some: scoped("some")?,
+        own_zone_first: section.value("own_zone_first", flag)?.unwrap_or(false),
+        tries: section.value("tries", up_to(100))?,
+        once: section.value("once", flag)?.unwrap_or(false),
+        answered: limit("answered")?,
+        throttled: limit("throttled")?,
+        failed: limit("failed")?,
+        held: section.value("held", duration)?,
+    };
+    let faults = faults.unwrap_or_default();
+    let fault_count = section.value("fault_count", up_to(FAULTS_MOST))?;
+    let seeds = section.value("seeds", |text| match whole(text)? {
+        0 => Err("0 is too few".to_string()),
+        n => Ok(n),
+    })?;
+    let (session, written_ago) = session.unwrap_or((false, None));
+    Ok(Expectation {
+        name: name.into(),
+        section: section.clone(),
+        commands,
+        shards,
+        zones,
+        session,
+        written_ago,
+        states: states.unwrap_or_else(|| vec![State::Calm]),
+        fault_count: fault_count.unwrap_or(if faults.is_empty() { 0 } else { bounds.faults.max(1) }),
+        faults,
+        seeds: seeds.unwrap_or(bounds.seeds),
+        at_once: section.value("at_once", up_to(AT_ONCE_MOST))?.unwrap_or(1).max(1),
+        must,
+    })
+}
--- /dev/null
+++ b/crates/expect/src/report/narrate.rs
@@ -0,0 +1,77 @@
+//! A run in words: each question and its answer, each thing that happened.
+
+use tansyjunction::interface::*;
+
+use crate::judge::time;
+use crate::subject::Subject;
+use crate::world::{BEGIN, Change, Step, What};
+
+/// How a dispatch ended, in words.
+pub fn outcome(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Answered => "answered",
+        Ending::Errored => "an error; it may have run",
+        Ending::SentBack => "sent back, never run",
+        Ending::TimedOut => "no answer in time; it may have run",
+        Ending::Unconnected => "no connection, never run",
+        Ending::Reset => "the connection broke; it may have run",
+        Ending::Recalled => "called off; it may have run",
+        Ending::Unsent => "never sent",
+        Ending::Missed => "a miss, never run",
+    }
+}
+
+/// One line for each step, with the time since the world's beginning.
+pub fn narrate(subject: &Subject, trail: &[Step]) -> Vec<String> {
+    let several = trail.iter().filter(|step| matches!(step.what, What::Arrives { .. })).count() > 1;
+    trail.iter().map(|step| line(subject, step, several)).collect()
+}
+
+fn line(subject: &Subject, step: &Step, several: bool) -> String {
+    let at = step.at.saturating_sub(BEGIN) as f64 / 1e3;
+    let name = |server: usize| subject.servers.get(server).map_or("an unknown server", |s| s.name.as_str());
+    let of = |command: usize| if several { format!("command {}: ", command + 1) } else { String::new() };
+    let told = match &step.what {
+        What::Arrives { command } => format!("{}arrives", of(*command)),
+        What::Asked { command, place, times } => {
+            let asked = match times {
+                1 => "where to?".to_string(),
+                n => format!("where to? (asked {n} times)"),
+            };
+            let answer = match place {
+                Place::Dispatch { server, timeout } => {
+                    format!("to {}, for {} at most", name(*server), time(*timeout))
+                }
+                Place::NotYet => "not yet".into(),
+                Place::Never(Final::Throttled { come_back: 0 }) => "throttled".into(),
+                Place::Never(Final::Throttled { come_back }) => {
+                    format!("throttled, to come back after {}", time(*come_back))
+                }
+                Place::Never(Final::Failed) => "failed".into(),
+            };
+            format!("{}{asked} -> {answer}", of(*command))
+        }
+        What::Ended { command, dispatch, server, ending, over } => {
+            let over = if *over { "; the command is over" } else { "" };
+            let number = dispatch + 1;
+            format!("{}dispatch {number} at {}: {}{over}", of(*command), name(*server), outcome(*ending))
+        }
+        What::Recalled { command, dispatch } => {
+            format!("{}dispatch {} is called off", of(*command), dispatch + 1)
+        }
+        What::Probed { server, ending } => format!("probe of {}: {}", name(*server), outcome(*ending)),
+        What::Changed(change) => match change {
+            Change::Told { server, standing, primary, started } => {
+                let role = if *primary { "primary" } else { "replica" };
+                let started = if started.is_some() { ", started of late" } else { "" };
+                let standing = format!("{standing:?}").to_lowercase();
+                format!("the list tells: {} is {standing}, {role}{started}", name(*server))
+            }
+            Change::Primary(server) => format!("{} becomes the primary", name(*server)),
+            Change::Condition(server, condition) => {
+                format!("{} is {} from now on", name(*server), format!("{condition:?}").to_lowercase())
+            }
+        },
+    };
+    format!("{at:>9.1} ms  {told}")
+}
--- /dev/null
+++ b/crates/expect/src/scope.rs
@@ -0,0 +1,141 @@
+//! Sets of servers in words, such as `replica within 3s, primary`: phrases between commas, any of which may fit; all
+//! words of a phrase must.
+
+use tansyjunction::interface::{Micros, Standing};
+use tansyjunction_settings::{duration, list, unknown};
+
+use crate::subject::Subject;
+use crate::truth::{CONDITIONS, Condition, Truth};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Term {
+    Any,
+    Primary,
+    Replica,
+    /// In the client's zone.
+    OwnZone,
+    Zone(usize),
+    Server(usize),
+    /// Not further behind than this, in microseconds; further than this.
+    Within(Micros),
+    Behind(Micros),
+    Draining,
+    Gone,
+    Cold,
+    Condition(Condition),
+    /// Listed as the primary, whether it is or not.
+    Listed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scope {
+    pub text: String,
+    pub phrases: Vec<Vec<Term>>,
+}
+
+/// Words that a scope may hold, for messages.
+const WORDS: [&str; 15] = [
+    "any", "primary", "replica", "own", "zone", "server", "within", "behind", "draining", "gone", "cold",
+    "listed", "hung", "refusing", "well",
+];
+
+impl Scope {
+    pub fn read(text: &str, subject: &Subject) -> Result<Scope, String> {
+        let phrases = list(text)?;
+        let phrases = phrases.iter().map(|phrase| read_phrase(phrase, subject));
+        Ok(Scope { text: text.into(), phrases: phrases.collect::<Result<_, String>>()? })
+    }
+
+    /// Whether a server that stands so is among them.
+    pub fn has(&self, subject: &Subject, server: usize, truth: &Truth, now: Micros) -> bool {
+        let fits = |term: &Term| term.fits(subject, server, truth, now);
+        self.phrases.iter().any(|phrase| phrase.iter().all(fits))
+    }
+
+    /// The most lag that a phrase allows for replicas, where it names any.
+    pub fn lag_allowed(&self) -> Option<Micros> {
+        let replicas = |phrase: &&Vec<Term>| !phrase.contains(&Term::Primary);
+        let lags = self.phrases.iter().filter(replicas).flatten().filter_map(|term| match term {
+            Term::Within(lag) => Some(*lag),
+            _ => None,
+        });
+        lags.max()
+    }
+}
+
+impl Term {
+    fn fits(&self, subject: &Subject, server: usize, truth: &Truth, now: Micros) -> bool {
+        let facts = &subject.servers[server];
+        match self {
+            Term::Any => true,
+            Term::Primary => truth.primary,
+            Term::Replica => !truth.primary,
+            Term::OwnZone => facts.zone == subject.own_zone,
+            Term::Zone(zone) => facts.zone == *zone,
+            Term::Server(named) => server == *named,
+            Term::Within(lag) => truth.primary || truth.lag <= *lag,
+            Term::Behind(lag) => !truth.primary && truth.lag > *lag,
+            Term::Draining => truth.standing == Standing::Draining,
+            Term::Gone => truth.standing == Standing::Gone,
+            Term::Cold => truth.cold(now, subject.figures.cold),
+            Term::Condition(condition) => truth.condition == *condition,
+            Term::Listed => truth.listed_primary,
+        }
+    }
+}
+
+fn read_phrase(phrase: &str, subject: &Subject) -> Result<Vec<Term>, String> {
+    let mut words = phrase.split_whitespace();
+    let mut terms = Vec::new();
+    while let Some(word) = words.next() {
+        let mut next = |what: &str| words.next().ok_or(format!("'{word}' wants {what} after it"));
+        terms.push(match word {
+            "any" => Term::Any,
+            "primary" => Term::Primary,
+            "replica" => Term::Replica,
+            "listed" => Term::Listed,
+            "draining" => Term::Draining,
+            "gone" => Term::Gone,
+            "cold" => Term::Cold,
+            "within" => Term::Within(duration(next("a time")?)?),
+            "behind" => Term::Behind(duration(next("a time")?)?),
+            "own" => match next("'zone'")? {
+                "zone" => Term::OwnZone,
+                other => return Err(format!("'own {other}' is not 'own zone'")),
+            },
+            "zone" => Term::Zone(zone(subject, next("a zone")?)?),
+            "server" => Term::Server(server(subject, next("a server")?)?),
+            word => match CONDITIONS.iter().find(|(name, _)| *name == word) {
+                Some((_, condition)) => Term::Condition(*condition),
+                None => return Err(format!("'{word}': {}", unknown("word", word, WORDS.into_iter()))),
+            },
+        });
+    }
+    Ok(terms)
+}
+
+pub fn zone(subject: &Subject, name: &str) -> Result<usize, String> {
+    let found = subject.zones.iter().position(|zone| zone == name);
+    found.ok_or_else(|| {
+        format!("'{name}': {}", unknown("zone", name, subject.zones.iter().map(String::as_str)))
+    })
+}
+
+pub fn server(subject: &Subject, name: &str) -> Result<usize, String> {
+    let found = subject.servers.iter().position(|server| server.name == name);
+    let names = subject.servers.iter().map(|server| server.name.as_str());
+    found.ok_or_else(|| format!("'{name}': {}", unknown("server", name, names)))
+}
+
+pub fn shard(subject: &Subject, name: &str) -> Result<usize, String> {
+    let found = subject.shards.iter().position(|shard| shard == name);
+    found.ok_or_else(|| {
+        format!("'{name}': {}", unknown("shard", name, subject.shards.iter().map(String::as_str)))
+    })
+}
+
+pub fn command_group(subject: &Subject, name: &str) -> Result<usize, String> {
+    let names = || subject.command_groups.iter().map(|group| group.name.as_str());
+    let found = names().position(|group| group == name);
+    found.ok_or_else(|| format!("'{name}': {}", unknown("command group", name, names())))
+}
--- /dev/null
+++ b/crates/expect/src/subject.rs
@@ -0,0 +1,253 @@
+//! What is checked against: a configuration as the platform hands it over, read for its names and figures.
+
+use std::path::Path;
+
+use serde_json::Value as Json;
+use tansyjunction::interface::*;
+use tansyjunction_hosting::{List, named};
+
+/// What a command group needs of the data that it reads, in the rules' terms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Write,
+    Fresh,
+    Session,
+    /// Data not older than this, in microseconds.
+    Bounded(Micros),
+    Any,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    /// Repeats are dropped by any server, in one zone, or in the group; and for how long.
+    Keyed(Within, Micros),
+    Mutating,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Within {
+    All,
+    Zone,
+    Group,
+}
+
+/// What a server does with a read that it is too far behind for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guards {
+    None,
+    Refuse,
+    /// It waits so long first.
+    Wait(Micros),
+}
+
+#[derive(Clone, Debug)]
+pub struct CommandGroup {
+    pub name: String,
+    pub need: Need,
+    pub effect: Effect,
+    /// Times in microseconds.
+    pub response_target: Micros,
+    pub client_timeout: Micros,
+}
+
+impl CommandGroup {
+    pub fn writes(&self) -> bool {
+        self.need == Need::Write
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct ServerFacts {
+    pub name: String,
+    pub shard: usize,
+    pub zone: usize,
+    pub size: f64,
+    pub standing: Standing,
+    pub listed_primary: bool,
+}
+
+/// Figures of the deployment; times in microseconds.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub guards: Guards,
+    /// Whether answers state role and position; whether they bring a load report.
+    pub stamped: bool,
+    pub reports: bool,
+    /// Whether clients bring along when their session last wrote.
+    pub carried: bool,
+    pub routers: f64,
+    pub max_dispatches: usize,
+    pub second_copies: bool,
+    pub gone_binds: bool,
+    pub answer_grace: Micros,
+    pub drain_grace: Micros,
+    pub connect_within: Micros,
+    pub cold: Micros,
+    pub cold_from: f64,
+    pub fall_multiple: f64,
+    pub fall_for: Micros,
+    pub round: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// Where it was read.
+    pub file: String,
+    pub json: Json,
+    pub named: Named,
+    pub zones: Vec<String>,
+    pub own_zone: usize,
+    pub command_groups: Vec<CommandGroup>,
+    pub shards: Vec<String>,
+    pub servers: Vec<ServerFacts>,
+    pub figures: Figures,
+}
+
+impl Subject {
+    pub fn open(path: &Path) -> Result<Subject, String> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{file}: {error}"))?;
+        let json = serde_json::from_str(&text).map_err(|error| format!("{file}: {error}"))?;
+        Subject::read(&file, json)
+    }
+
+    /// Reads a configuration; messages name the file and the key.
+    pub fn read(file: &str, json: Json) -> Result<Subject, String> {
+        Subject::take(file, json).map_err(|message| format!("{file}: {message}"))
+    }
+
+    fn take(file: &str, json: Json) -> Result<Subject, String> {
+        let settings = json.get("settings").ok_or("'settings' is missing")?;
+        let named = named(settings);
+        // The router checks what it picks of the settings.
+        tansyjunction::Router::new(named.clone(), 0).map_err(|message| format!("'settings': {message}"))?;
+        let names = |list: &Json| -> Vec<String> {
+            let each = list.as_array().map_or(&[][..], Vec::as_slice).iter();
+            each.filter_map(|name| name.as_str().map(String::from)).collect()
+        };
+        let zones = names(&settings["localities"]);
+        if zones.is_empty() {
+            return Err("'settings.localities' names no zone".into());
+        }
+        let own_zone = match zones.iter().position(|zone| settings["my_zone"] == zone.as_str()) {
+            Some(zone) => zone,
+            None => return Err(format!("'settings.my_zone' {} is not in 'localities'", settings["my_zone"])),
+        };
+        let each = settings["categories"].as_array().map_or(&[][..], Vec::as_slice);
+        let command_groups = (0..each.len()).map(|k| command_group(&named, k, &each[k]));
+        let command_groups = command_groups.collect::<Result<Vec<_>, String>>()?;
+        let mut subject = Subject {
+            file: file.into(),
+            figures: figures(&named, settings),
+            named,
+            zones,
+            own_zone,
+            command_groups,
+            shards: Vec::new(),
+            servers: Vec::new(),
+            json: Json::Null,
+        };
+        if let Some(list) = json.get("known").filter(|list| !list.is_null()) {
+            let list = List::read(list).map_err(|message| format!("'known': {message}"))?;
+            for host in list.hosts {
+                let zone = subject.zones.iter().position(|zone| *zone == host.zone);
+                let zone = zone.ok_or(format!("'known': {} is in zone '{}'", host.name, host.zone))?;
+                subject.add(&host.name, &host.group, zone, host.size, host.standing, host.primary)?;
+            }
+        }
+        subject.json = json;
+        Ok(subject)
+    }
+
+    /// Adds a server that the list lacks.
+    pub fn add(
+        &mut self,
+        name: &str,
+        shard: &str,
+        zone: usize,
+        size: f64,
+        standing: Standing,
+        primary: bool,
+    ) -> Result<(), String> {
+        if self.servers.iter().any(|server| server.name == name) {
+            return Err(format!("server '{name}' is listed twice"));
+        }
+        let place = self.shards.iter().position(|known| known == shard).unwrap_or_else(|| {
+            self.shards.push(shard.into());
+            self.shards.len() - 1
+        });
+        let name = name.into();
+        let facts = ServerFacts { name, shard: place, zone, size, standing, listed_primary: primary };
+        self.servers.push(facts);
+        Ok(())
+    }
+
+    pub fn members(&self, shard: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..self.servers.len()).filter(move |server| self.servers[*server].shard == shard)
+    }
+}
+
+fn number(named: &Named, name: &str, default: f64) -> f64 {
+    if let Some(Value::Number(number)) = named.get(name) { *number } else { default }
+}
+
+fn text<'a>(named: &'a Named, name: &str) -> &'a str {
+    if let Some(Value::Text(text)) = named.get(name) { text } else { "" }
+}
+
+fn flag(named: &Named, name: &str) -> bool {
+    named.get(name) == Some(&Value::Flag(true))
+}
+
+fn command_group(named: &Named, k: usize, json: &Json) -> Result<CommandGroup, String> {
+    let name = json["name"].as_str().ok_or(format!("'settings.categories.{k}.name' is missing"))?;
+    let part = |part: &str| format!("command_group.{k}.{part}");
+    let time = |key: &str| number(named, &part(key), 0.0) as Micros;
+    let need = match text(named, &part("need")) {
+        "any" => Need::Any,
+        "bounded" => Need::Bounded(time("bound")),
+        "session" => Need::Session,
+        "fresh" => Need::Fresh,
+        _ => Need::Write,
+    };
+    let within = match text(named, &part("scope")) {
+        "all" => Within::All,
+        "zone" => Within::Zone,
+        _ => Within::Group,
+    };
+    let effect = match text(named, &part("effect")) {
+        "replayable" => Effect::Replayable,
+        "keyed" => Effect::Keyed(within, time("repeat_within")),
+        _ => Effect::Mutating,
+    };
+    let (response_target, client_timeout) = (time("response_target"), time("client_timeout"));
+    Ok(CommandGroup { name: name.into(), need, effect, response_target, client_timeout })
+}
+
+fn figures(named: &Named, settings: &Json) -> Figures {
+    let time = |name: &str| number(named, name, 0.0) as Micros;
+    let dial = settings["limits"]["dial_timeout"].as_f64().map(|nanos| (nanos / 1_000.0) as Micros);
+    Figures {
+        guards: match text(named, "guards") {
+            "wait" => Guards::Wait(time("guard_wait")),
+            "refuse" => Guards::Refuse,
+            _ => Guards::None,
+        },
+        stamped: settings["domain"]["answers_stamped"] == true,
+        reports: settings["telemetry"]["how"] == "piggyback",
+        carried: text(named, "session_marks") == "carried",
+        routers: number(named, "routers", 1.0).max(1.0),
+        max_dispatches: number(named, "limits.max_dispatches", 1.0) as usize,
+        second_copies: flag(named, "limits.second_copies"),
+        gone_binds: !flag(named, "rules.gone_is_advice"),
+        answer_grace: time("rules.answer_grace"),
+        drain_grace: time("rules.drain_grace"),
+        connect_within: dial.unwrap_or(250_000),
+        cold: time("rules.cold"),
+        cold_from: number(named, "rules.cold_from", 1.0),
+        fall_multiple: number(named, "rules.fall_multiple", 0.0),
+        fall_for: time("rules.fall_for"),
+        round: number(named, "round", 5_000.0) as Micros,
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use tansyjunction::Router;
 use tansyjunction::interface::*;
 use tansyjunction_hosting::{Commands, DueTimes, List, Names, Reminder, at_millis};
+use tracing::{error, info, warn};
 
 use crate::memory::clients::Clients;
 use crate::memory::servers::Servers;
@@ -17,7 +18,6 @@
 use crate::run::clock::Clock;
 use crate::run::deployment::Deployment;
 use crate::run::listener::Listener;
-use crate::say;
 use crate::wire::client::{Client, InHand, Next};
 use crate::wire::directory::Answer;
 use crate::wire::frames;
@@ -171,7 +171,7 @@
             self.queue_more = turn == TURN_NEW;
             let full = !self.room_for_one(true);
             if full && !self.queue_waits {
-                say!("no descriptor left for another client");
+                warn!(target: "limits", "no descriptor left for another client");
             }
             self.queue_waits = full;
             if self.queue_waits || self.queue_more {
@@ -184,7 +184,7 @@
                     self.clients.add(key, Client::new(stream, token, self.clock.now()));
                     self.mind(key);
                 }
-                Err(error) => say!("a client's connection: {error}"),
+                Err(error) => warn!(target: "clients", "a client's connection: {error}"),
             }
         }
     }
@@ -235,7 +235,7 @@
             && self.clients.kept() > self.deployment.memory / INBOX_PART
             && let Some(client) = self.clients.get(key)
         {
-            say!("no memory left for a client's message");
+            warn!(target: "limits", "no memory left for a client's message");
             client.refuse("53200", "no memory left for the message");
         }
         self.resume.push_back(key);
@@ -453,14 +453,14 @@
         }
         let Some(address) = self.servers.address(server) else { return Err(Ending::Unsent) };
         if !self.room_for_one(false) {
-            say!("no descriptor left for a connection to {}", self.servers_named.name(server));
+            warn!(target: "limits", "no descriptor left for a connection to {}", self.servers_named.name(server));
             return Err(Ending::Unsent);
         }
         let key = self.number();
         let stream = match connect(address) {
             Ok(stream) => stream,
             Err(error) => {
-                say!("{}: {error}", self.servers_named.name(server));
+                warn!(target: "servers", "{}: {error}", self.servers_named.name(server));
                 return Err(Ending::Unconnected);
             }
         };
@@ -553,7 +553,7 @@
         let Some(line) = self.servers.get(key) else { return };
         let started = matches!(line.talk.phase, Phase::Ready | Phase::Busy);
         if started && line.talk.said.ending.is_none() {
-            say!("what a server said makes no sense");
+            warn!(target: "servers", "what a server said makes no sense");
             line.talk.said = Said::default();
         }
         let ending = match line.job {
@@ -696,7 +696,7 @@
                 self.watch_due(now + WATCH_OPENS);
             }
             Err(error) => {
-                say!("discovery: {error}");
+                warn!(target: "discovery", "discovery: {error}");
                 self.watch_due(now + pause);
             }
         }
@@ -743,7 +743,7 @@
             Ok(false) if fresh && version.is_none() => self.ask_discovery(),
             ended => {
                 if let Err(message) = ended {
-                    say!("discovery: {message}");
+                    warn!(target: "discovery", "discovery: {message}");
                 }
                 self.leave_discovery();
                 self.watch_due(now + self.watch.pause);
@@ -926,13 +926,13 @@
         let new = match read {
             Ok(new) => new,
             Err(message) => {
-                say!("the configuration stays as it was: {message}");
+                error!(target: "start", "the configuration stays as it was: {message}");
                 return;
             }
         };
         (self.deployment.sockets, self.deployment.peers) = (new.sockets, new.peers);
         if new.discovery != self.deployment.discovery {
-            say!("discovery is at {} from now on", new.discovery);
+            info!(target: "start", "discovery is at {} from now on", new.discovery);
             self.deployment.discovery = new.discovery;
             // Another address may number its lists otherwise. Until it tells its own, the last one stays in force.
             (self.watch.version, self.watch.pause) = (None, WATCH_AGAIN);
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -156,6 +156,14 @@
     }
 }
 
+impl std::fmt::Display for Deployment {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (name, listen, groups) = (&self.name, self.listen, self.command_groups.len());
+        let known = self.known.as_ref().map_or(0, |list| list.hosts.len());
+        write!(f, "{name}: listens on {listen}, {groups} command groups, {known} servers known")
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/gateway/src/run/listener.rs
+++ b/crates/gateway/src/run/listener.rs
@@ -8,7 +8,6 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 
 use crate::gateway::Gateway;
-use crate::say;
 
 pub struct Listener {
     listener: Rc<TcpListener>,
@@ -44,7 +43,7 @@
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
-                    say!("accept: {error}");
+                    tracing::warn!(target: "clients", "accept: {error}");
                     return None;
                 }
             }
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -7,11 +7,11 @@
 use calloop::generic::Generic;
 use calloop::signals::{Event, Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
+use tracing::info;
 
 use crate::gateway::Gateway;
 use crate::run::deployment::Deployment;
 use crate::run::listener::Listener;
-use crate::say;
 
 /// Longest datagram between gateways.
 const DATAGRAM_MOST: usize = 256;
@@ -48,13 +48,13 @@
     let listener =
         Listener::open(address, handle.clone()).map_err(|error| format!("'listen' {address}: {error}"))?;
     let mut gateway = Gateway::new(handle, deployment, listener);
-    say!("{name} serves on {address}");
+    info!(target: "start", "{name} serves on {address}");
     while !gateway.is_over() {
         let before = gateway.clock.now();
         let wait = Duration::from_micros(gateway.next_due().saturating_sub(before));
         events.dispatch(wait, &mut gateway).map_err(text("loop"))?;
         gateway.settle(before);
     }
-    say!("{name} has stopped");
+    info!(target: "start", "{name} has stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/settings/src/program.rs
@@ -0,0 +1,190 @@
+//! The program's own settings: the one place where they are read, checked and given defaults.
+//!
+//! Without a file all of them have the values that the program had before there was one.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use tansyjunction::interface::Micros;
+
+use crate::ini::{Fault, Ini, Section};
+use crate::values::{duration, one_of, unknown, whole};
+
+/// The parts of the program whose log lines have a level of their own.
+pub const PARTS: [&str; 5] = ["start", "clients", "servers", "discovery", "limits"];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    Off,
+    Error,
+    Warn,
+    Info,
+    Debug,
+    Trace,
+}
+
+const LEVELS: [(&str, Level); 6] = [
+    ("off", Level::Off),
+    ("error", Level::Error),
+    ("warn", Level::Warn),
+    ("info", Level::Info),
+    ("debug", Level::Debug),
+    ("trace", Level::Trace),
+];
+
+/// `[log]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Logging {
+    pub format: Format,
+    pub level: Level,
+    /// Levels of single parts, by their names in [`PARTS`].
+    pub levels: BTreeMap<String, Level>,
+    /// Lines in any one second; what goes beyond is counted and told with the next line. 0: no bound.
+    pub lines_a_second: u64,
+}
+
+/// `[expect]`: bounds of the search for runs that break an expectation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expecting {
+    /// How far any replica may fall behind before operators step in, in microseconds; None: not stated.
+    pub replica_lag_allowed: Option<Micros>,
+    /// Faults beyond those of the world that a run may meet.
+    pub faults: usize,
+    pub seeds: u64,
+    /// Runs of one expectation, and the time for all of them, in microseconds.
+    pub runs: u64,
+    pub time_limit: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Program {
+    pub log: Logging,
+    pub expect: Expecting,
+}
+
+impl Default for Program {
+    fn default() -> Self {
+        let levels = BTreeMap::new();
+        Program {
+            log: Logging { format: Format::Text, level: Level::Info, levels, lines_a_second: 20 },
+            expect: Expecting {
+                replica_lag_allowed: None,
+                faults: 1,
+                seeds: 4,
+                runs: 20_000,
+                time_limit: 10_000_000,
+            },
+        }
+    }
+}
+
+impl Program {
+    /// Reads the file at `path`; None: all is as without one.
+    pub fn open(path: Option<&Path>) -> Result<Program, Fault> {
+        path.map_or(Ok(Program::default()), |path| Program::read(&Ini::open(path)?))
+    }
+
+    pub fn read(ini: &Ini) -> Result<Program, Fault> {
+        let mut program = Program::default();
+        for section in &ini.sections {
+            match section.name.as_str() {
+                "log" => program.log.read(section)?,
+                "expect" => program.expect.read(section)?,
+                other => {
+                    let known = ["log", "expect"].into_iter();
+                    return Err(section.fault(unknown("section", other, known)));
+                }
+            }
+        }
+        Ok(program)
+    }
+}
+
+impl Logging {
+    fn read(&mut self, section: &Section) -> Result<(), Fault> {
+        section.only(&["format", "level", "level.", "lines_a_second"])?;
+        let formats = [("text", Format::Text), ("json", Format::Json)];
+        if let Some(format) = section.value("format", |text| one_of("format", text, &formats))? {
+            self.format = format;
+        }
+        let level = |text: &str| one_of("level", text, &LEVELS);
+        if let Some(level) = section.value("level", level)? {
+            self.level = level;
+        }
+        for entry in &section.entries {
+            let Some(part) = entry.key.strip_prefix("level.") else { continue };
+            if !PARTS.contains(&part) {
+                return Err(section.fault_at(&entry.key, unknown("part", part, PARTS.into_iter())));
+            }
+            if let Some(level) = section.value(&entry.key, level)? {
+                self.levels.insert(part.into(), level);
+            }
+        }
+        if let Some(lines) = section.value("lines_a_second", whole)? {
+            self.lines_a_second = lines;
+        }
+        Ok(())
+    }
+}
+
+impl Expecting {
+    /// Faults beyond this many can't be searched through in any time that somebody waits.
+    const FAULTS_MOST: u64 = 4;
+
+    fn read(&mut self, section: &Section) -> Result<(), Fault> {
+        section.only(&["replica_lag_allowed", "faults", "seeds", "runs", "time_limit"])?;
+        self.replica_lag_allowed = section.value("replica_lag_allowed", duration)?;
+        let few = |text: &str| match whole(text)? {
+            n if n > Self::FAULTS_MOST => Err(format!("{n} is more than {}", Self::FAULTS_MOST)),
+            n => Ok(n as usize),
+        };
+        let some =
+            |text: &str| whole(text).and_then(|n| if n > 0 { Ok(n) } else { Err("0 is too few".into()) });
+        self.faults = section.value("faults", few)?.unwrap_or(self.faults);
+        self.seeds = section.value("seeds", some)?.unwrap_or(self.seeds);
+        self.runs = section.value("runs", some)?.unwrap_or(self.runs);
+        self.time_limit = section.value("time_limit", duration)?.unwrap_or(self.time_limit);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn absent_keys_take_their_defaults_and_faults_name_theirs() {
+        let read = |text: &str| Ini::read("t.ini", text).and_then(|ini| Program::read(&ini));
+        assert_eq!(read(""), Ok(Program::default()));
+        let set = read(
+            "[log]\nformat = json\nlevel = warn\nlevel.servers = debug\nlines_a_second = 5\n[expect]\nfaults = 2\n\
+             replica_lag_allowed = 3s\ntime_limit = 1m",
+        );
+        let set = set.expect("it is well");
+        assert_eq!((set.log.format, set.log.level, set.log.lines_a_second), (Format::Json, Level::Warn, 5));
+        assert_eq!(set.log.levels.get("servers"), Some(&Level::Debug));
+        let expect = &set.expect;
+        assert_eq!((expect.faults, expect.seeds, expect.time_limit), (2, 4, 60_000_000));
+        assert_eq!(expect.replica_lag_allowed, Some(3_000_000));
+        for (text, said) in [
+            ("[lug]", "t.ini:1 [lug]: no such section; the nearest is 'log'"),
+            ("[log]\nfrmat = text", "t.ini:2 [log] 'frmat': no such key; the nearest is 'format'"),
+            ("[log]\nformat = xml", "t.ini:2 [log] 'format': no such format; there are text, json"),
+            ("[log]\nlevel = inf", "t.ini:2 [log] 'level': no such level; the nearest is 'info'"),
+            ("[log]\nlevel.client = info", "[log] 'level.client': no such part; the nearest is 'clients'"),
+            ("[log]\nlines_a_second = few", "'lines_a_second': 'few' is not a whole number"),
+            ("[expect]\nfaults = 9", "'faults': 9 is more than 4"),
+            ("[expect]\nseeds = 0", "'seeds': 0 is too few"),
+            ("[expect]\ntime_limit = 10", "'time_limit': '10' is not a time"),
+        ] {
+            let fault = read(text).expect_err(text).to_string();
+            assert!(fault.contains(said), "{fault}");
+        }
+    }
+}
