Examples of expectations, right and wrong; no busy asking near the client timeout

The checker found that a command with a dispatch out was asked about every microsecond in the last round before its client timeout (9,984 questions in 5 ms of virtual time): Router::wait now gives a round at least, with a test.

--- a/crates/cli/src/line.rs
+++ b/crates/cli/src/line.rs
@@ -25,7 +25,7 @@
     /// Read the configuration and the settings as `serve` does, and say what is wrong with them.
     Check(Source),
     /// Check what is expected of where commands go, without sending any.
-    Expect(expect::Line),
+    Expect(Box<expect::Line>),
     /// Write a shell's completions to standard output.
     Completions { shell: Shell },
     /// Write the manual page to standard output.
@@ -52,7 +52,7 @@
 
 pub fn main() -> ExitCode {
     let done = match Line::parse().command {
-        Command::Expect(line) => return expect::main(line),
+        Command::Expect(line) => return expect::main(*line),
         Command::Serve(source) => source.program().and_then(|program| {
             log::start(&program.log)?;
             serve(source.config)
--- a/crates/expect/src/contradiction.rs
+++ b/crates/expect/src/contradiction.rs
@@ -150,7 +150,7 @@
     let common = |a: &[usize], b: &[usize]| a.iter().copied().filter(|x| b.contains(x)).collect::<Vec<_>>();
     let (shards, zones) = (common(&one.shards, &other.shards), common(&one.zones, &other.zones));
     let commands = common(&one.commands, &other.commands);
-    if commands.is_empty() || one.session != other.session {
+    if commands.is_empty() || (one.session, one.written_ago) != (other.session, other.written_ago) {
         return None;
     }
     let said = |key: &str, message: String| {
--- a/crates/expect/src/expectation.rs
+++ b/crates/expect/src/expectation.rs
@@ -55,6 +55,8 @@
     pub faults: Vec<Happens>,
     /// How many of those faults one run may meet.
     pub fault_count: usize,
+    /// Whether one run may meet each of them once only.
+    pub each_once: bool,
     pub seeds: u64,
     /// Commands that come at once; the last is looked at.
     pub at_once: usize,
@@ -68,7 +70,7 @@
     pub worlds: Vec<Described>,
 }
 
-const KEYS: [&str; 20] = [
+const KEYS: [&str; 21] = [
     "commands",
     "shards",
     "zones",
@@ -76,6 +78,7 @@
     "in",
     "faults",
     "fault_count",
+    "each_fault",
     "seeds",
     "at_once",
     "only",
@@ -234,6 +237,8 @@
     };
     let faults = faults.unwrap_or_default();
     let fault_count = section.value("fault_count", up_to(FAULTS_MOST))?;
+    let repeats = [("once", true), ("again", false)];
+    let each_once = section.value("each_fault", |text| one_of("way", text, &repeats))?.unwrap_or(false);
     let seeds = section.value("seeds", |text| match whole(text)? {
         0 => Err("0 is too few".to_string()),
         n => Ok(n),
@@ -250,6 +255,7 @@
         states: states.unwrap_or_else(|| vec![State::Calm]),
         fault_count: fault_count.unwrap_or(if faults.is_empty() { 0 } else { bounds.faults.max(1) }),
         faults,
+        each_once,
         seeds: seeds.unwrap_or(bounds.seeds),
         at_once: section.value("at_once", up_to(AT_ONCE_MOST))?.unwrap_or(1).max(1),
         must,
--- a/crates/expect/src/explore.rs
+++ b/crates/expect/src/explore.rs
@@ -5,9 +5,10 @@
 //! outcome. Between two dispatches only chance is open: the stretch is run again from the last fork with the next
 //! pick. Worlds that were met before with as many faults left are dropped.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use tansyjunction::interface::*;
 
 use crate::expectation::{Expectation, Must};
@@ -159,6 +160,7 @@
 struct Search<'a> {
     must: &'a Must,
     faults: &'a [Happens],
+    each_once: bool,
     bounds: &'a Bounds<'a>,
     setting: Setting,
     name: String,
@@ -272,6 +274,7 @@
     let mut search = Search {
         must: &expectation.must,
         faults: &expectation.faults,
+        each_once: expectation.each_once,
         bounds,
         setting,
         name: start.name.clone(),
@@ -289,12 +292,13 @@
 impl Search<'_> {
     /// Tries all that may follow from a world, with so many faults left.
     fn from<S: Steer>(&mut self, anchor: World<S>, faults: usize) {
-        match self.met.get(&anchor.digest()) {
+        let marks = self.marks(&anchor);
+        match self.met.get(&marks) {
             Some(left) if *left >= faults => {
                 self.found.tally.met += 1;
                 return;
             }
-            _ => self.met.insert(anchor.digest(), faults),
+            _ => self.met.insert(marks, faults),
         };
         let mut told = Vec::new();
         loop {
@@ -318,6 +322,18 @@
         }
     }
 
+    /// Marks of a world, and where each fault comes once only, of those that were met on the way.
+    fn marks<S: Steer>(&self, world: &World<S>) -> u64 {
+        let mut hasher = FxHasher::default();
+        world.digest().hash(&mut hasher);
+        if self.each_once {
+            let mut faults: Vec<Happens> = self.path.iter().filter_map(|choice| choice.happens).collect();
+            faults.sort_unstable();
+            faults.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     fn stretch<S: Steer>(&mut self, world: World<S>, stop: Stop, picks: Vec<usize>, faults: usize) {
         self.path.push(Choice { picks, happens: None });
         match stop {
@@ -352,7 +368,9 @@
         let in_store = world.in_store(command, server);
         let mut outcomes = vec![None];
         if faults > 0 {
-            outcomes.extend(self.faults.iter().filter(|fault| **fault != in_store).copied().map(Some));
+            let met = |fault: &Happens| self.path.iter().any(|choice| choice.happens == Some(*fault));
+            let open = |fault: &&Happens| **fault != in_store && !(self.each_once && met(fault));
+            outcomes.extend(self.faults.iter().filter(open).copied().map(Some));
         }
         for happens in outcomes {
             let mut fork = world.clone();
--- a/crates/expect/src/state.rs
+++ b/crates/expect/src/state.rs
@@ -5,11 +5,9 @@
 
 use crate::scope;
 use crate::subject::{Need, Subject};
-use crate::truth::{CONDITIONS, Claim, Condition, Truth};
+use crate::truth::{CALM_LAG, CONDITIONS, Claim, Condition, Truth};
 use crate::world::{BEGIN, Change, Start};
 
-/// A replica that is up to date stands about so far behind.
-const CALM_LAG: Micros = 50_000;
 /// A replica that is behind stands this much further behind than any bound of the settings.
 const BEHIND: Micros = 2_000_000;
 /// A cold server started so long ago.
--- a/crates/expect/src/suggest.rs
+++ b/crates/expect/src/suggest.rs
@@ -45,6 +45,7 @@
         states: vec![state.clone()],
         faults: Vec::new(),
         fault_count: 0,
+        each_once: false,
         seeds: 2,
         at_once: 1,
         must: Must::default(),
--- a/crates/expect/src/truth.rs
+++ b/crates/expect/src/truth.rs
@@ -2,6 +2,9 @@
 
 use tansyjunction::interface::*;
 
+/// A replica that is up to date stands about so far behind.
+pub const CALM_LAG: Micros = 50_000;
+
 /// What a server does with what reaches it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Condition {
--- a/crates/expect/src/world.rs
+++ b/crates/expect/src/world.rs
@@ -10,7 +10,7 @@
 
 use crate::steer::Steer;
 use crate::subject::{Guards, Need, Subject};
-use crate::truth::{Claim, Condition, Happens, Truth};
+use crate::truth::{CALM_LAG, Claim, Condition, Happens, Truth};
 
 /// When worlds begin: late enough that nothing lies before the clock's start.
 pub const BEGIN: Micros = 1_000_000_000_000;
@@ -386,7 +386,7 @@
         for member in members {
             let truth = &mut self.truths[member];
             if truth.primary && member != server {
-                (truth.primary, truth.was_primary, truth.lag) = (false, true, 0);
+                (truth.primary, truth.was_primary, truth.lag) = (false, true, CALM_LAG);
             }
         }
         (self.truths[server].primary, self.truths[server].lag) = (true, 0);
@@ -447,17 +447,19 @@
             self.at(due, Due::Ask(place));
         }
         for dispatch in wait.recall {
-            self.recall(place, dispatch);
+            // What was called off may be sent elsewhere at once.
+            stop = self.recall(place, dispatch).or(stop);
         }
         stop
     }
 
-    fn recall(&mut self, command: usize, dispatch: usize) {
+    fn recall(&mut self, command: usize, dispatch: usize) -> Option<Stop> {
         let out = self.hands[command].held.dispatches.get(dispatch).is_some_and(|d| d.ended.is_none());
-        if out {
-            self.note(What::Recalled { command, dispatch });
-            self.ends(command, dispatch, Ending::Recalled);
+        if !out {
+            return None;
         }
+        self.note(What::Recalled { command, dispatch });
+        self.ends(command, dispatch, Ending::Recalled)
     }
 
     fn end(&mut self, place: usize, end: End) {
@@ -595,7 +597,11 @@
         self.note(What::Ended { command: place, dispatch, server, ending, over });
         self.at(now, Due::Router);
         match after {
-            After::Ask if !over => self.ask(place),
+            After::Ask if !over => {
+                // On a machine time goes on between an outcome and the next question.
+                self.now += 1;
+                self.ask(place)
+            }
             After::Ask => None,
             After::Over { recall } => {
                 for dispatch in recall {
--- /dev/null
+++ b/crates/expect/tests/common/mod.rs
@@ -0,0 +1,79 @@
+//! Example files with what their heads say of them. Each test program uses its part.
+#![allow(dead_code)]
+
+use std::path::{Path, PathBuf};
+
+use serde_json::Value as Json;
+use tansyjunction_expect::explore::Make;
+use tansyjunction_expect::report::why;
+use tansyjunction_expect::steer::Steer;
+use tansyjunction_expect::{Input, Report, Subject, check};
+use tansyjunction_settings::{Ini, Program};
+
+pub fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/examples/expectations")
+}
+
+/// One file: `; key: value` in its first lines, then the expectations.
+pub struct Example {
+    pub name: String,
+    pub text: String,
+}
+
+impl Example {
+    pub fn all(kind: &str) -> Vec<Example> {
+        let files = std::fs::read_dir(folder().join(kind)).expect("the folder").flatten();
+        let mut all: Vec<Example> = files
+            .map(|file| Example {
+                name: file.file_name().to_string_lossy().into(),
+                text: std::fs::read_to_string(file.path()).expect("the file"),
+            })
+            .collect();
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all
+    }
+
+    pub fn head(&self, key: &str) -> Option<&str> {
+        let lines = self.text.lines().map_while(|line| line.strip_prefix("; "));
+        lines
+            .filter_map(|line| line.split_once(": "))
+            .find(|(known, _)| *known == key)
+            .map(|(_, value)| value)
+    }
+
+    pub fn input(&self) -> Result<Input, String> {
+        let mut config = config(self.head("config").expect("a configuration"));
+        for patch in self.head("patch").into_iter().flat_map(|patches| patches.split("; ")) {
+            let (path, value) = patch.split_once(" = ").expect("a patch");
+            let value = serde_json::from_str(value).expect("a patch's value");
+            *config.pointer_mut(path).expect("a patch's place") = value;
+        }
+        let settings = self.head("settings").unwrap_or("").replacen("] ", "]\n", 1);
+        input(config, &[&self.text], &settings)
+    }
+}
+
+pub fn config(name: &str) -> Json {
+    let text = std::fs::read_to_string(folder().join(name)).expect("a configuration");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+pub fn input(config: Json, files: &[&str], settings: &str) -> Result<Input, String> {
+    let subject = Subject::read("config.json", config)?;
+    let inis = files.iter().map(|text| Ini::read("expectations.ini", text));
+    let inis = inis.collect::<Result<Vec<_>, _>>().map_err(|fault| fault.to_string())?;
+    let program = Ini::read("settings.ini", settings).and_then(|ini| Program::read(&ini));
+    let bounds = program.map_err(|fault| fault.to_string())?.expect;
+    Input::read(subject, inis, bounds, "settings.ini".into()).map_err(|fault| fault.to_string())
+}
+
+/// Checks without a limit on time, so that the same is found on every machine.
+pub fn checked<S: Steer>(input: &Input, make: Make<S>) -> Result<Report, String> {
+    check(input, &|| false, make)
+}
+
+/// All that fails, a line each.
+pub fn failures(report: &Report) -> String {
+    let each = report.checked.iter().filter_map(why);
+    each.chain(report.faults.iter().map(ToString::to_string)).collect::<Vec<_>>().join("\n")
+}
--- a/crates/settings/src/ini.rs
+++ b/crates/settings/src/ini.rs
@@ -82,10 +82,11 @@
         read.transpose().map_err(|message| self.fault_at(key, message))
     }
 
-    /// Refuses keys that are not among `known`; those that end with a dot stand for all that begin so.
+    /// Refuses keys that are not among `known`; those that end with a dot or a blank stand for all that begin so.
     pub fn only(&self, known: &[&str]) -> Result<(), Fault> {
-        let fits =
-            |key: &str| known.iter().any(|k| if k.ends_with('.') { key.starts_with(k) } else { key == *k });
+        let fits = |key: &str| {
+            known.iter().any(|k| if k.ends_with(['.', ' ']) { key.starts_with(k) } else { key == *k })
+        };
         match self.entries.iter().find(|entry| !fits(&entry.key)) {
             None => Ok(()),
             Some(entry) => Err(self.fault_at(&entry.key, unknown("key", &entry.key, known.iter().copied()))),
@@ -123,7 +124,7 @@
             let Some(item) = parser.next() else { break };
             let fault = |message: &str| Fault { line, ..whole_file(file.clone(), message) };
             match item {
-                Item::Section(name) if name.is_empty() => return Err(fault("a section without a name")),
+                Item::Section("") => return Err(fault("a section without a name")),
                 Item::Section(name) => {
                     if let Some(other) = sections.iter().find(|section| section.name == name) {
                         return Err(fault(&format!("[{name}] stands on line {} already", other.line)));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -956,7 +956,9 @@
             return wait;
         };
         let patience = self.patience(kind);
-        wait.micros = if now < sent + patience { sent + patience - now } else { patience.min(left) };
+        // Guards against a host that is kept busy asking in the last moments before the client timeout.
+        let later = patience.min(left).max(round);
+        wait.micros = if now < sent + patience { sent + patience - now } else { later };
         // Where no second copy may run, a read at a member that fell silent is called off for another try.
         let alone = !self.flag("limits.second_copies", false) && self.flag("limits.recalls", false);
         let read = kind.effect == Effect::Replayable && kind.need != Need::Write;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -746,6 +746,21 @@
     }
 }
 
+#[test]
+fn the_last_moments_of_a_command_keep_no_host_busy() {
+    // Guards against a wait of nothing while a dispatch is out: the host asked thousands of times in one round.
+    for command_group in [ANY, FRESH, KEYED] {
+        let mut store = Store::calm(&[]);
+        let mut held = store.command(command_group);
+        store.sent(&mut held);
+        for left in [6 * MS, 5 * MS, MS, 0] {
+            store.now = held.command.client_timeout - left;
+            let wait = store.router.wait(store.now, Some(&held));
+            assert!(wait.micros >= 5 * MS, "{left} us left: {} us", wait.micros);
+        }
+    }
+}
+
 #[test]
 fn same_questions_same_answers() {
     let run = || {
