--- a/crates/expect/src/judge.rs
+++ b/crates/expect/src/judge.rs
@@ -32,6 +32,24 @@
             Cause::Protocol => "protocol".into(),
         }
     }
+
+    /// The keys of the configuration that decide this, to be looked at first.
+    pub fn look(&self) -> &'static str {
+        match self {
+            Cause::Rule(1) => "settings.categories.hard_limit, settings.guarantees.grace_to_answer",
+            Cause::Rule(2) => "settings.categories.effect, window and dedup_scope",
+            Cause::Rule(3) => "known.hosts.health, settings.guarantees.drain_grace and gone_is_advice",
+            Cause::Rule(4) => "known.hosts.born_ms and share, settings.guarantees.cold and fall_multiple",
+            Cause::Rule(_) => "settings.domain.class_bound, guards and needs_by_class",
+            Cause::Key("only" | "never" | "may" | "some") => {
+                "known.hosts.recovery, block, site and health, settings.domain.needs_by_class"
+            }
+            Cause::Key("own_zone_first") => "known.hosts.site, settings.my_zone",
+            Cause::Key("tries" | "once") => "settings.limits.max_attempts, settings.categories.effect",
+            Cause::Key(_) => "settings.categories.aim and hard_limit, settings.limits",
+            Cause::Protocol => "known.hosts.block, settings.limits.max_attempts",
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/expect/src/report/json.rs
+++ b/crates/expect/src/report/json.rs
@@ -28,6 +28,7 @@
         "dispatches": found.dispatches,
         "cause": found.broken.cause.name(),
         "why": found.broken.why,
+        "look_at": found.broken.cause.look(),
         "steps": narrate(subject, &found.trail),
     })
 }
--- a/crates/expect/src/report/text.rs
+++ b/crates/expect/src/report/text.rs
@@ -38,6 +38,7 @@
         }
         if let Verdict::Broken(found) = &one.verdict {
             out.push_str(&run(subject, found));
+            let _ = writeln!(out, "        look at: {}", found.broken.cause.look());
             let _ = writeln!(out, "        {}", tally(&one.tally));
         }
     }
--- a/crates/expect/tests/lying.rs
+++ b/crates/expect/tests/lying.rs
@@ -139,10 +139,8 @@
 #[test]
 fn every_lie_is_caught_by_its_rule_and_the_router_is_not() {
     let mut config = config("orders.json");
+    config["settings"]["limits"]["max_attempts"] = 4.into();
     // The lie about windows needs a keyed command group whose clients wait longer than its window.
-    for (place, value) in [("/settings/limits/max_attempts", 4)] {
-        *config.pointer_mut(place).expect(place) = value.into();
-    }
     let mut keyed = config.clone();
     let order = &mut keyed["settings"]["categories"][1];
     (order["effect"], order["window"], order["dedup_scope"]) =
