--- /dev/null
+++ b/crates/handover/src/hold.rs
@@ -0,0 +1,120 @@
+//! Held writes of a shard: bounded, by time left, with each session's in the order in which they came.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use tansyjunction::interface::Micros;
+
+use crate::interface::Write;
+
+#[derive(Clone, Debug, Default, Hash, PartialEq, Eq)]
+pub(crate) struct Held {
+    writes: BTreeMap<u64, Write>,
+    /// By the time by which each must be on its way.
+    by_deadline: BTreeSet<(Micros, u64)>,
+    /// Those that may go next: the first of each session, and all without one, by their deadlines.
+    ready: BTreeSet<(Micros, u64)>,
+    sessions: BTreeMap<usize, VecDeque<u64>>,
+    clients: BTreeMap<u64, usize>,
+    pub bytes: usize,
+}
+
+impl Held {
+    pub fn len(&self) -> usize {
+        self.writes.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.writes.is_empty()
+    }
+
+    pub fn has(&self, id: u64) -> bool {
+        self.writes.contains_key(&id)
+    }
+
+    pub fn of_client(&self, client: u64) -> usize {
+        self.clients.get(&client).copied().unwrap_or(0)
+    }
+
+    pub fn has_session(&self, session: Option<usize>) -> bool {
+        session.is_some_and(|session| self.sessions.contains_key(&session))
+    }
+
+    /// By when a write must be on its way: the client's time, or the window within which it may be repeated.
+    fn deadline(write: &Write, round: Micros) -> Micros {
+        let most = write.client_timeout.saturating_sub(round);
+        write.repeat_until.map_or(most, |until| most.min(until))
+    }
+
+    /// Keeps a write. `first`: it goes before others of its session, since it was there before them.
+    pub fn add(&mut self, write: Write, round: Micros, first: bool) {
+        let (id, deadline) = (write.id, Self::deadline(&write, round));
+        self.by_deadline.insert((deadline, id));
+        match write.session {
+            None => {
+                self.ready.insert((deadline, id));
+            }
+            Some(session) => {
+                let line = self.sessions.entry(session).or_default();
+                let was = line.front().copied();
+                if first {
+                    line.push_front(id)
+                } else {
+                    line.push_back(id)
+                }
+                if line.front() == Some(&id) {
+                    if let Some(was) = was.and_then(|was| self.writes.get(&was)) {
+                        self.ready.remove(&(Self::deadline(was, round), was.id));
+                    }
+                    self.ready.insert((deadline, id));
+                }
+            }
+        }
+        *self.clients.entry(write.client).or_default() += 1;
+        self.bytes += write.bytes;
+        self.writes.insert(id, write);
+    }
+
+    pub fn remove(&mut self, id: u64, round: Micros) -> Option<Write> {
+        let write = self.writes.remove(&id)?;
+        let deadline = Self::deadline(&write, round);
+        self.by_deadline.remove(&(deadline, id));
+        self.ready.remove(&(deadline, id));
+        self.bytes -= write.bytes;
+        if let Some(count) = self.clients.get_mut(&write.client) {
+            *count -= 1;
+            if *count == 0 {
+                self.clients.remove(&write.client);
+            }
+        }
+        if let Some(session) = write.session
+            && let Some(line) = self.sessions.get_mut(&session)
+        {
+            line.retain(|other| *other != id);
+            match line.front().and_then(|next| self.writes.get(next)) {
+                Some(next) => {
+                    self.ready.insert((Self::deadline(next, round), next.id));
+                }
+                None => {
+                    self.sessions.remove(&session);
+                }
+            }
+        }
+        Some(write)
+    }
+
+    /// The write with the least time left that may go, where `free` says that nothing of its session is out.
+    pub fn next(&self, free: impl Fn(&Write) -> bool) -> Option<u64> {
+        let ready = self.ready.iter().filter_map(|(_, id)| self.writes.get(id));
+        ready.into_iter().find(|write| free(write)).map(|write| write.id)
+    }
+
+    /// A write whose deadline is at or before `by`.
+    pub fn overdue(&self, by: Micros) -> Option<&Write> {
+        let (deadline, id) = self.by_deadline.first()?;
+        if *deadline <= by { self.writes.get(id) } else { None }
+    }
+
+    pub fn first_deadline(&self) -> Option<Micros> {
+        self.by_deadline.first().map(|(deadline, _)| *deadline)
+    }
+}
