Hold writes while a primary is replaced, fence old ones, take operators' plans

Clients must not feel a planned change, and an unplanned one must cost no payment. With [handover] enabled the gateway puts writes to the holds before the router, bars fenced servers, asks servers for their roles every 50 ms while one is sought, and takes operators' words over a Unix socket (mode 0600); tansyjunction handover plan, status, abort, pause, resume. Off by default: then all is as before. crates/standin is a store on loopback with keys, a ledger, switches, kills and a script.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! tansyjunction: steers reads and writes in replicated stores.
 
 mod expect;
+mod handover;
 mod line;
 mod log;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,9 @@
 //! The middle of the gateway: what is read becomes calls on the router, and its answers become messages. Nothing is
 //! decided here. All state hangs on [`Gateway`], which the loop hands to every callback.
 
+mod control;
+mod holds;
+
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -10,8 +13,11 @@
 use tansyjunction::Router;
 use tansyjunction::interface::*;
 use tansyjunction_hosting::{Commands, DueTimes, List, Names, Reminder, at_millis};
+use tansyjunction_settings::Program;
 use tracing::{error, info, warn};
 
+use self::control::Controls;
+use self::holds::Holds;
 use crate::memory::clients::Clients;
 use crate::memory::servers::Servers;
 use crate::memory::sessions::Sessions;
@@ -67,6 +73,7 @@
 enum Due {
     Client(u64),
     Line(u64),
+    Control(u64),
     Discovery,
     Listener,
 }
@@ -99,6 +106,9 @@
     resume: VecDeque<u64>,
     /// When the router is to be asked what is due.
     router_due: Micros,
+    /// What is held while a primary is replaced; None: nothing is.
+    holds: Option<Holds>,
+    controls: Controls,
     /// Numbers for connections and commands; none is used twice.
     last: u64,
     /// A list has come: empty queries are answered.
@@ -112,7 +122,12 @@
 }
 
 impl Gateway {
-    pub fn new(handle: LoopHandle<'static, Gateway>, mut deployment: Deployment, listener: Listener) -> Self {
+    pub fn new(
+        handle: LoopHandle<'static, Gateway>,
+        mut deployment: Deployment,
+        listener: Listener,
+        program: &Program,
+    ) -> Self {
         let mut gateway = Gateway {
             handle,
             clock: Clock::start(),
@@ -128,6 +143,8 @@
             due: DueTimes::default(),
             resume: VecDeque::new(),
             router_due: 0,
+            holds: Holds::new(&deployment, program),
+            controls: Controls::default(),
             last: 0,
             ready: false,
             stops: None,
@@ -348,6 +365,7 @@
         self.handle.remove(client.token);
         if let Some(command) = command {
             self.commands.client_gone(&mut self.router, self.clock.now(), command);
+            self.no_longer_held(command);
         }
     }
 
@@ -359,6 +377,12 @@
     }
 
     fn ask_at(&mut self, now: Micros, command: u64) {
+        if self.admitted(now, command) {
+            self.ask_router(now, command);
+        }
+    }
+
+    fn ask_router(&mut self, now: Micros, command: u64) {
         self.router_due = now;
         let Some((place, recall)) = self.commands.ask(&mut self.router, now, command) else { return };
         let dispatch = self.commands.dispatches(command).unwrap_or(0).saturating_sub(1);
@@ -366,6 +390,12 @@
             self.recall(command, dispatch);
         }
         match place {
+            Place::Dispatch { server, .. } if !self.may_go(command, server) => {
+                // To the router it is as a server that says it follows.
+                let stated = Report { primary: Some(false), ..Report::default() };
+                let said = Said { stated, ..Said::default() };
+                self.dispatch_ended(command, dispatch, Ending::Unsent, said);
+            }
             Place::Dispatch { server, timeout } => {
                 let job = Job::Command { command, dispatch };
                 if let Err(ending) = self.begin(server, job, now, now + timeout) {
@@ -399,6 +429,7 @@
     /// The client that waits for a command has its final answer.
     fn answered(&mut self, command: u64, written: Next) {
         let now = self.clock.now();
+        self.no_longer_held(command);
         let Some(key) = self.clients.answering(command, now) else { return };
         if let Next::Close = written {
             self.close_client(key);
@@ -410,6 +441,7 @@
     fn dispatch_ended(&mut self, command: u64, dispatch: usize, ending: Ending, said: Said) {
         let now = self.clock.now();
         let Some(sent) = self.commands.sent(command, dispatch) else { return };
+        self.heard_of_role(now, command, dispatch, ending, &said);
         let outcome = Outcome {
             dispatch,
             ending,
@@ -627,6 +659,7 @@
             Job::Probe => {
                 let now = self.clock.now();
                 let took = said.at.unwrap_or(now).saturating_sub(written.unwrap_or(now));
+                self.heard_by_probe(now, server, ending, said.row.or(said.report), said.stated);
                 self.router.probed(now, server, took, ending, said.row.or(said.report));
                 self.router_due = now;
             }
@@ -790,6 +823,7 @@
         }
         self.router.listed(now, Some(&entries), list.whole);
         self.router_due = now;
+        self.list_tells(now, &entries);
         if self.deployment.gone_binds {
             self.forget_gone(&left_out);
         }
@@ -809,6 +843,9 @@
             let standing = Standing::Gone;
             let gone = Listed { server, group, zone, size, standing, primary: false, started: None };
             self.router.listed(now, Some(&[gone]), false);
+            if let Some(holds) = &mut self.holds {
+                holds.handover.forget(server);
+            }
             self.servers_named.forget(server);
         }
     }
@@ -829,7 +866,9 @@
         if !self.resume.is_empty() || self.queue_more {
             return 0;
         }
-        [self.commands.next_due(), self.due.next()].into_iter().flatten().fold(self.router_due, Micros::min)
+        let holds = self.holds.as_ref().map(|holds| holds.due);
+        let due = [self.commands.next_due(), self.due.next(), holds];
+        due.into_iter().flatten().fold(self.router_due, Micros::min)
     }
 
     /// Does all that was due at `until`, a time before the last look at the sockets: after a pause of the whole
@@ -849,6 +888,7 @@
                 break;
             }
         }
+        self.settle_holds();
         self.part_with_resting();
         // Guards against a listen queue that is left unserved once any connection has given its descriptor back.
         if self.queue_waits || self.queue_more {
@@ -892,6 +932,7 @@
                     self.close_line(key);
                 }
             }
+            Due::Control(key) => self.control_late(key, at),
             Due::Discovery => {
                 if self.watch.due.is_due(&mut self.due, Due::Discovery, at) {
                     self.ask_discovery();
--- /dev/null
+++ b/crates/gateway/src/gateway/holds.rs
@@ -0,0 +1,244 @@
+//! Where writes meet the holds: what the gateway hears becomes notices, and what is due is released or answered.
+//! Nothing is decided here.
+
+use tansyjunction::interface::*;
+use tansyjunction_handover::{Admit, Figures, Handover, Write};
+use tansyjunction_settings::Program;
+use tracing::{debug, info};
+
+use super::Gateway;
+use crate::run::deployment::Deployment;
+use crate::wire::server::{Job, Said};
+
+/// The holds and when they are to be asked what is due.
+pub struct Holds {
+    pub handover: Handover,
+    pub due: Micros,
+    /// The phase of each shard as it was logged last.
+    logged: Vec<(usize, tansyjunction_handover::Phase, Option<usize>)>,
+}
+
+impl Holds {
+    /// None where the settings leave them off.
+    pub fn new(deployment: &Deployment, program: &Program) -> Option<Holds> {
+        let set = &program.handover;
+        if !set.enabled {
+            return None;
+        }
+        let figures = Figures {
+            held_most: set.held_most,
+            held_bytes: set.held_bytes,
+            held_client: set.held_client,
+            held_bytes_all: deployment.memory / 100 * set.held_memory,
+            announce_for: set.announce_for,
+            drain_for: set.drain_for,
+            switch_for: set.switch_for,
+            caught_up: set.caught_up,
+            gap: set.gap,
+            gap_least: set.gap_least,
+            gateways: deployment.gateways,
+            usual: set.usual,
+            look_every: if deployment.probes && deployment.reports { set.look_every } else { 0 },
+            doubt_for: set.doubt_for,
+            ..Figures::default()
+        };
+        Some(Holds { handover: Handover::new(figures, deployment.seed), due: 0, logged: Vec::new() })
+    }
+}
+
+impl Gateway {
+    /// The write that a command is to the holds; None: they do not mind it.
+    fn as_write(&self, command: u64) -> Option<Write> {
+        self.holds.as_ref()?;
+        let held = self.commands.held(command)?;
+        let Command { command_group, group, session, arrived, client_timeout, .. } = held.command;
+        let kind = &self.deployment.command_groups[command_group];
+        if !kind.primary || group == usize::MAX {
+            return None;
+        }
+        let ran = held.dispatches.iter().find(|d| d.ended.is_none_or(|ended| !ended.never_ran()));
+        let within = kind.repeat_within;
+        let repeat_until = ran.map(|first| if within > 0 { first.sent + within } else { 0 });
+        let client = self.clients.client_of(command)?;
+        let bytes = self.clients.see(client)?.in_hand.as_ref()?.length;
+        Some(Write {
+            id: command,
+            shard: group,
+            client,
+            session,
+            bytes,
+            arrived,
+            client_timeout,
+            repeat_until,
+        })
+    }
+
+    /// Whether a command may go to the router now. One that is held may not; one that can't be held is answered.
+    pub(super) fn admitted(&mut self, now: Micros, command: u64) -> bool {
+        let out = |held: &Held| held.dispatches.iter().any(|d| d.ended.is_none());
+        if self.holds.is_none() || self.commands.held(command).is_none_or(out) {
+            return true;
+        }
+        let Some(write) = self.as_write(command) else { return true };
+        let Some(holds) = &mut self.holds else { return true };
+        if holds.handover.holds(command) {
+            return false;
+        }
+        holds.due = now;
+        match holds.handover.admit(now, &write) {
+            Admit::Pass => true,
+            Admit::Hold => {
+                debug!(target: "servers", command, shard = write.shard, "a write is held");
+                false
+            }
+            Admit::Throttle { come_back } => {
+                self.give_up(command, Final::Throttled { come_back });
+                false
+            }
+            Admit::Fail => {
+                self.give_up(command, Final::Failed);
+                false
+            }
+        }
+    }
+
+    fn give_up(&mut self, command: u64, last: Final) {
+        self.commands.finish(command);
+        self.answer_finally(command, last);
+    }
+
+    /// Whether a write may go to the server that the router named.
+    pub(super) fn may_go(&mut self, command: u64, server: usize) -> bool {
+        let Some(write) = self.as_write(command) else { return true };
+        let Some(holds) = &mut self.holds else { return true };
+        holds.handover.allows(write.shard, server, command)
+    }
+
+    pub(super) fn no_longer_held(&mut self, command: u64) {
+        let now = self.clock.now();
+        if let Some(holds) = &mut self.holds {
+            holds.handover.ended(now, command);
+            holds.due = now;
+        }
+    }
+
+    /// What the end of a dispatch tells of its server's role.
+    pub(super) fn heard_of_role(
+        &mut self,
+        now: Micros,
+        command: u64,
+        dispatch: usize,
+        ending: Ending,
+        said: &Said,
+    ) {
+        let Some(held) = self.commands.held(command).filter(|_| self.holds.is_some()) else { return };
+        let (shard, kind) = (held.command.group, held.command.command_group);
+        let Some(server) = held.dispatches.get(dispatch).map(|d| d.server) else { return };
+        let write = self.deployment.command_groups[kind].primary;
+        let Some(holds) = &mut self.holds else { return };
+        holds.due = now;
+        let (stated, handover) = (said.stated, &mut holds.handover);
+        match ending {
+            Ending::Answered if write => handover.answered(now, shard, server, command, stated.position),
+            Ending::Missed if write => handover.denies(now, shard, server, None),
+            Ending::Unconnected | Ending::Reset | Ending::TimedOut => {
+                handover.lost(now, shard, server, false);
+            }
+            Ending::Unsent | Ending::Recalled => {}
+            _ => self.told_role(now, shard, server, stated),
+        }
+    }
+
+    fn told_role(&mut self, now: Micros, shard: usize, server: usize, report: Report) {
+        let Some(holds) = &mut self.holds else { return };
+        match report.primary {
+            Some(true) => holds.handover.claims(now, shard, server, report.position),
+            Some(false) => holds.handover.denies(now, shard, server, report.position),
+            None => {}
+        }
+    }
+
+    pub(super) fn heard_by_probe(
+        &mut self,
+        now: Micros,
+        server: usize,
+        ending: Ending,
+        report: Option<Report>,
+        stated: Report,
+    ) {
+        let Some(shard) = self.servers.shard(server).filter(|_| self.holds.is_some()) else { return };
+        if let Some(holds) = &mut self.holds {
+            holds.due = now;
+            if matches!(ending, Ending::Unconnected | Ending::Reset | Ending::TimedOut) {
+                holds.handover.lost(now, shard, server, false);
+                return;
+            }
+        }
+        // What the answer itself states is newer than the report in it.
+        let newest = if stated.primary.is_some() { Some(stated) } else { report };
+        if let Some(report) = newest {
+            self.told_role(now, shard, server, report);
+        }
+    }
+
+    pub(super) fn list_tells(&mut self, now: Micros, entries: &[Listed]) {
+        let gone_binds = self.deployment.gone_binds;
+        for entry in entries {
+            self.servers.in_shard(entry.server, entry.group);
+            let Some(holds) = &mut self.holds else { continue };
+            holds.due = now;
+            let leaving = match entry.standing {
+                Standing::Serving => false,
+                Standing::Draining => true,
+                Standing::Gone => gone_binds,
+            };
+            holds.handover.listed(now, entry.group, entry.server, entry.primary, leaving);
+        }
+    }
+
+    /// Releases and answers what is due.
+    pub(super) fn settle_holds(&mut self) {
+        let now = self.clock.now();
+        // What is released may end at once and make more due; a few rounds are enough, the rest has the next turn.
+        for _ in 0..4 {
+            let Some(holds) = self.holds.as_mut().filter(|holds| holds.due <= now) else { return };
+            let due = holds.handover.due(now);
+            holds.due = now + due.wait;
+            self.log_phases();
+            for (command, come_back) in due.give_up {
+                let last = come_back.map_or(Final::Failed, |come_back| Final::Throttled { come_back });
+                self.give_up(command, last);
+            }
+            for server in due.looks {
+                let until = now + self.deployment.connect_within;
+                if let Err(ending) = self.begin(server, Job::Probe, now, until) {
+                    self.job_ended(server, Job::Probe, ending, Said::default(), None);
+                }
+            }
+            for command in due.release {
+                self.ask_router(now, command);
+            }
+        }
+    }
+
+    fn log_phases(&mut self) {
+        let Some(holds) = &mut self.holds else { return };
+        for status in holds.handover.status() {
+            let now = (status.shard, status.phase, status.primary);
+            let before = holds.logged.iter_mut().find(|(shard, ..)| *shard == status.shard);
+            let changed = match before {
+                Some(before) => std::mem::replace(before, now) != now,
+                None => {
+                    holds.logged.push(now);
+                    false
+                }
+            };
+            if changed {
+                let shard = self.groups.name(status.shard);
+                let primary = status.primary.map_or("nobody", |server| self.servers_named.name(server));
+                let (phase, held, term) = (status.phase.name(), status.held, status.term);
+                info!(target: "servers", "shard {shard} is {phase}, led by {primary}: {held} held, term {term}");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -89,6 +89,11 @@
         Some(key)
     }
 
+    /// The number of the connection that waits for a command.
+    pub fn client_of(&self, command: u64) -> Option<u64> {
+        self.waiting.get(&command).copied()
+    }
+
     /// The connection that waits for a command.
     pub fn waiting_for(&mut self, command: u64) -> Option<&mut Client> {
         let key = self.waiting.get(&command)?;
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -17,6 +17,8 @@
     lines: usize,
     /// Since when it is gone.
     gone: Option<Micros>,
+    /// Its group, as the list tells.
+    shard: Option<usize>,
 }
 
 /// A server that is gone is kept so long: far longer than a list that is late may still name it.
@@ -70,6 +72,16 @@
         Some(server)
     }
 
+    pub fn in_shard(&mut self, server: usize, shard: usize) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.shard = Some(shard);
+        }
+    }
+
+    pub fn shard(&self, server: usize) -> Option<usize> {
+        self.servers.get(&server)?.shard
+    }
+
     pub fn address(&self, server: usize) -> Option<SocketAddr> {
         self.servers.get(&server)?.address
     }
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -18,6 +18,9 @@
     pub session: bool,
     pub keyed: bool,
     pub writes: bool,
+    /// Only the primary takes them; how long one may be repeated by its key, in its group.
+    pub primary: bool,
+    pub repeat_within: Micros,
 }
 
 /// What this gateway was told of the deployment that it serves.
@@ -36,13 +39,18 @@
     pub command_groups: Vec<CommandGroup>,
     /// Whether a server that the list calls gone is gone.
     pub gone_binds: bool,
+    /// Gateways of this deployment, this one included.
+    pub gateways: u64,
     /// How long any client waits at most.
     pub longest_wait: Micros,
-    /// Whether probes bring a load report, and its fields.
+    /// Whether servers may be probed; whether probes bring a load report.
+    pub probes: bool,
     pub reports: bool,
     /// How long opening a connection may take, and how long one may idle.
     pub connect_within: Micros,
     pub idle_for: Micros,
+    /// For random numbers.
+    pub seed: u64,
     /// The router, which checks the settings that it picks.
     pub router: Router,
 }
@@ -94,6 +102,12 @@
                 name: name.to_string(),
                 session: sessions && matches!(need, "causal" | "mutate"),
                 keyed: each["effect"] == "token",
+                primary: need == "mutate",
+                repeat_within: match (each["effect"].as_str(), each["dedup_scope"].as_str()) {
+                    (Some("token"), Some("zone")) => 0,
+                    (Some("token"), _) => (each["window"].as_f64().unwrap_or(0.0) / NANOS) as Micros,
+                    _ => 0,
+                },
                 writes: each["effect"] != "pure" || need == "mutate",
             })
         });
@@ -147,10 +161,13 @@
                 .collect(),
             command_groups: command_groups.collect::<Result<_, String>>()?,
             gone_binds: settings["guarantees"]["gone_is_advice"] != true,
+            gateways: settings["balancers"].as_u64().unwrap_or(1).max(1),
             longest_wait,
+            probes: settings["limits"]["probes"] == true,
             reports: matches!(settings["telemetry"]["how"].as_str(), Some("piggyback" | "pull")),
             connect_within: limit("dial_timeout")?.unwrap_or(250_000),
             idle_for: limit("conn_idle")?.unwrap_or(10_000_000),
+            seed,
             router,
         })
     }
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -7,6 +7,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Event, Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
+use tansyjunction_settings::Program;
 use tracing::info;
 
 use crate::gateway::Gateway;
@@ -16,8 +17,8 @@
 /// Longest datagram between gateways.
 const DATAGRAM_MOST: usize = 256;
 
-/// Serves as the configuration at `path`, or the one that the environment names, says.
-pub fn serve(path: Option<PathBuf>) -> Result<(), String> {
+/// Serves as the configuration at `path`, or the one that the environment names, and the program's settings say.
+pub fn serve(path: Option<PathBuf>, program: &Program) -> Result<(), String> {
     let deployment = Deployment::read(path.as_deref())?;
     let text = |what: &'static str| move |error: calloop::Error| format!("{what}: {error}");
     let mut events: EventLoop<Gateway> = EventLoop::try_new().map_err(text("loop"))?;
@@ -47,7 +48,13 @@
     let (name, address) = (deployment.name.clone(), deployment.listen);
     let listener =
         Listener::open(address, handle.clone()).map_err(|error| format!("'listen' {address}: {error}"))?;
-    let mut gateway = Gateway::new(handle, deployment, listener);
+    let mut gateway = Gateway::new(handle, deployment, listener, program);
+    let _control = match &program.handover.control {
+        Some(path) => {
+            Some(gateway.open_control(path).map_err(|error| format!("{}: {error}", path.display()))?)
+        }
+        None => None,
+    };
     info!(target: "start", "{name} serves on {address}");
     while !gateway.is_over() {
         let before = gateway.clock.now();
--- a/crates/handover/src/interface.rs
+++ b/crates/handover/src/interface.rs
@@ -54,7 +54,7 @@
             gap_least: 200,
             gateways: 1,
             usual: 2_000_000,
-            look_every: 100_000,
+            look_every: 50_000,
             report_age: 300_000,
             doubt_for: 1_500_000,
         }
--- a/crates/handover/src/shard.rs
+++ b/crates/handover/src/shard.rs
@@ -129,7 +129,7 @@
             phase if phase.open() => first,
             // The scout alone goes on while a primary is sought.
             phase if phase.seeking() => {
-                shard.scouts(figures) && (scout || shard.scout.is_none() && first) && shard.free(write)
+                shard.scouts(figures, now) && (scout || shard.scout.is_none() && first) && shard.free(write)
             }
             // What was released and came back goes on while the phase lasts.
             _ => again && shard.free(write),
@@ -287,6 +287,14 @@
         }
     }
 
+    /// A server is gone for good; its number may be given to another.
+    pub fn forget(&mut self, server: usize) {
+        for shard in self.shards.values_mut() {
+            shard.servers.remove(&server);
+            shard.primary = shard.primary.filter(|primary| *primary != server);
+        }
+    }
+
     /// A write is over, whatever its end; its client may have gone.
     pub fn ended(&mut self, now: Micros, write: u64) {
         let Some(place) = self.writes.remove(&write) else { return };
@@ -590,7 +598,7 @@
             let may = match self.phase {
                 phase if phase.open() => true,
                 Phase::Releasing => self.pace.may(now),
-                phase if phase.seeking() => self.scout.is_none() && self.scouts(figures),
+                phase if phase.seeking() => self.scout.is_none() && self.scouts(figures, now),
                 _ => false,
             };
             let free = |write: &Write| write.session.is_none_or(|session| !sessions.contains(&session));
@@ -612,10 +620,12 @@
         }
     }
 
-    /// Whether a write may show the way to the next primary. In a planned change servers are asked instead: the old
-    /// one would still take it.
-    fn scouts(&self, figures: &Figures) -> bool {
-        self.plan.is_none() || figures.look_every == 0 || self.phase == Phase::Confirmed
+    /// Whether a write may show the way to the next primary. Where servers can be asked they are: a write would use up its
+    /// dispatches on those that are gone, and in a planned change the old primary would still take it. Guards against
+    /// servers that tell no role: after a while a write goes all the same.
+    fn scouts(&self, figures: &Figures, now: Micros) -> bool {
+        let asked = figures.look_every > 0 && now < self.began + figures.usual;
+        self.phase == Phase::Confirmed || !asked && (self.plan.is_none() || figures.look_every == 0)
     }
 
     /// Servers to ask how they stand: while a primary is sought or two claim to be it.
--- a/crates/hosting/src/commands.rs
+++ b/crates/hosting/src/commands.rs
@@ -33,6 +33,17 @@
         self.entries.get(&id).map(|entry| entry.held.dispatches.len())
     }
 
+    /// A command with its history.
+    pub fn held(&self, id: u64) -> Option<&Held> {
+        self.entries.get(&id).map(|entry| &entry.held)
+    }
+
+    /// The command is answered without its router; dispatches that are out still end one by one.
+    pub fn finish(&mut self, id: u64) {
+        self.over(id);
+        self.forget_ended(id);
+    }
+
     /// When a dispatch of a command was sent.
     pub fn sent(&self, id: u64, dispatch: usize) -> Option<Micros> {
         Some(self.entries.get(&id)?.held.dispatches.get(dispatch)?.sent)
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -3,12 +3,12 @@
 //! Without a file all of them have the values that the program had before there was one.
 
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use tansyjunction::interface::Micros;
 
 use crate::ini::{Fault, Ini, Section};
-use crate::values::{duration, one_of, unknown, whole};
+use crate::values::{duration, flag, one_of, unknown, whole};
 
 /// The parts of the program whose log lines have a level of their own.
 pub const PARTS: [&str; 5] = ["start", "clients", "servers", "discovery", "limits"];
@@ -62,10 +62,119 @@
     pub time_limit: Micros,
 }
 
+/// `[handover]`: what is held while a primary is replaced, and where operators announce changes. Times in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handing {
+    /// Off: writes go straight to the router, as without this part of the program.
+    pub enabled: bool,
+    /// A Unix socket for operators, made with mode 0600; None: there is none.
+    pub control: Option<PathBuf>,
+    /// Held writes of a shard, and of one client; bytes of a shard; all of them as a part of the memory, in percent.
+    pub held_most: usize,
+    pub held_client: usize,
+    pub held_bytes: usize,
+    pub held_memory: usize,
+    pub announce_for: Micros,
+    pub drain_for: Micros,
+    pub switch_for: Micros,
+    pub caught_up: Micros,
+    /// Between the first releases of all gateways together, and the least between two of this one.
+    pub gap: Micros,
+    pub gap_least: Micros,
+    pub usual: Micros,
+    pub look_every: Micros,
+    pub doubt_for: Micros,
+}
+
+impl Default for Handing {
+    fn default() -> Self {
+        Handing {
+            enabled: false,
+            control: None,
+            held_most: 2_000,
+            held_client: 64,
+            held_bytes: 8 << 20,
+            held_memory: 12,
+            announce_for: 5_000_000,
+            drain_for: 1_000_000,
+            switch_for: 30_000_000,
+            caught_up: 1_000_000,
+            gap: 4_000,
+            gap_least: 200,
+            usual: 2_000_000,
+            look_every: 50_000,
+            doubt_for: 1_500_000,
+        }
+    }
+}
+
+impl Handing {
+    fn read(&mut self, section: &Section) -> Result<(), Fault> {
+        section.only(&[
+            "enabled",
+            "control",
+            "held_most",
+            "held_client",
+            "held_bytes",
+            "held_memory",
+            "announce_for",
+            "drain_for",
+            "switch_for",
+            "caught_up",
+            "gap",
+            "gap_least",
+            "usual",
+            "look_every",
+            "doubt_for",
+        ])?;
+        self.enabled = section.value("enabled", flag)?.unwrap_or(self.enabled);
+        self.control = section.entry("control").map(|entry| PathBuf::from(&entry.value));
+        let path = self.control.as_ref().is_some_and(|path| !path.is_absolute());
+        if path {
+            return Err(section.fault_at("control", "it is not a path from the root"));
+        }
+        if self.control.is_some() && !self.enabled {
+            return Err(section.fault_at("control", "it serves nothing unless 'enabled' is yes"));
+        }
+        let some = |text: &str| match whole(text)? {
+            0 => Err("0 is too few".to_string()),
+            n => Ok(n as usize),
+        };
+        for (key, value) in [
+            ("held_most", &mut self.held_most),
+            ("held_client", &mut self.held_client),
+            ("held_bytes", &mut self.held_bytes),
+            ("held_memory", &mut self.held_memory),
+        ] {
+            *value = section.value(key, some)?.unwrap_or(*value);
+        }
+        if self.held_memory > 50 {
+            return Err(
+                section.fault_at("held_memory", "more than 50 percent leaves too little for the rest")
+            );
+        }
+        for (key, value) in [
+            ("announce_for", &mut self.announce_for),
+            ("drain_for", &mut self.drain_for),
+            ("switch_for", &mut self.switch_for),
+            ("caught_up", &mut self.caught_up),
+            ("gap", &mut self.gap),
+            ("gap_least", &mut self.gap_least),
+            ("usual", &mut self.usual),
+            ("look_every", &mut self.look_every),
+            ("doubt_for", &mut self.doubt_for),
+        ] {
+            *value = section.value(key, duration)?.unwrap_or(*value);
+        }
+        Ok(())
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Program {
     pub log: Logging,
     pub expect: Expecting,
+    pub handover: Handing,
 }
 
 impl Default for Program {
@@ -73,6 +182,7 @@
         let levels = BTreeMap::new();
         Program {
             log: Logging { format: Format::Text, level: Level::Info, levels, lines_a_second: 20 },
+            handover: Handing::default(),
             expect: Expecting {
                 replica_lag_allowed: None,
                 faults: 1,
@@ -96,8 +206,9 @@
             match section.name.as_str() {
                 "log" => program.log.read(section)?,
                 "expect" => program.expect.read(section)?,
+                "handover" => program.handover.read(section)?,
                 other => {
-                    let known = ["log", "expect"].into_iter();
+                    let known = ["log", "expect", "handover"].into_iter();
                     return Err(section.fault(unknown("section", other, known)));
                 }
             }
@@ -182,6 +293,11 @@
             ("[expect]\nfaults = 9", "'faults': 9 is more than 4"),
             ("[expect]\nseeds = 0", "'seeds': 0 is too few"),
             ("[expect]\ntime_limit = 10", "'time_limit': '10' is not a time"),
+            ("[handover]\ncontrol = x", "'control': it is not a path from the root"),
+            ("[handover]\ncontrol = /x", "'control': it serves nothing unless 'enabled' is yes"),
+            ("[handover]\nheld_most = 0", "'held_most': 0 is too few"),
+            ("[handover]\nheld_memory = 60", "'held_memory': more than 50 percent"),
+            ("[handover]\nlook = 1s", "'look': no such key"),
         ] {
             let fault = read(text).expect_err(text).to_string();
             assert!(fault.contains(said), "{fault}");
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,124 @@
+//! Servers on sockets: a thread that listens for each, and one for each connection.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::frames::{error, message, named, read, row, status};
+use crate::store::{Being, Shared, Written, unix_millis};
+
+/// Listens for a server; its address stays the same while it is down.
+pub(crate) fn listen(shared: Arc<Shared>, server: usize) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut state = shared.lock();
+            if state.over {
+                return;
+            }
+            let _ = stream.set_nodelay(true);
+            let found = &mut state.servers[server];
+            if found.being == Being::Down {
+                // As near to a refusal as a listener comes that must keep its port: a reset before any answer.
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                continue;
+            }
+            if let Ok(copy) = stream.try_clone() {
+                found.connections.push(copy);
+            }
+            let life = found.life;
+            drop(state);
+            let shared = shared.clone();
+            std::thread::spawn(move || talk(&shared, server, life, stream));
+        }
+    });
+    Ok(address)
+}
+
+/// Speaks on one connection until it ends.
+fn talk(shared: &Shared, server: usize, life: u64, mut stream: TcpStream) -> Option<()> {
+    read(&mut stream, false).ok()?;
+    let ready = message(b'Z', b"I");
+    let alive = || {
+        let state = shared.lock();
+        let found = &state.servers[server];
+        (found.life == life).then_some(found.being)
+    };
+    if alive()? == Being::Hung {
+        return silent(shared, server, life);
+    }
+    stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
+    loop {
+        let (_, body) = read(&mut stream, true).ok()?;
+        if alive()? == Being::Hung {
+            return silent(shared, server, life);
+        }
+        let statement = String::from_utf8_lossy(&body).into_owned();
+        let said = if statement.starts_with("SHOW health") {
+            let (position, leads) = stands(shared, server);
+            row(format!("x0={:.3},x1={}", position as f64 / 1e3, u8::from(leads)).as_bytes())
+        } else if statement.starts_with("SELECT 1") {
+            row(b"1")
+        } else if statement.starts_with("INSERT") {
+            match insert(shared, server, life, &statement)? {
+                Written::Done(commit) => {
+                    let bytes = [row(b"\x01"), status("lsn_ms", &commit.to_string())].concat();
+                    [bytes, status("recovery", "off")].concat()
+                }
+                Written::Miss => [error("25006", "this is no primary"), status("recovery", "on")].concat(),
+                Written::Broken => return None,
+                Written::Silent => return silent(shared, server, life),
+            }
+        } else {
+            std::thread::sleep(shared.shape.work / 2);
+            let (position, leads) = stands(shared, server);
+            let role = status("recovery", if leads { "off" } else { "on" });
+            [row(b"\x02"), status("lsn_ms", &position.to_string()), role].concat()
+        };
+        alive()?;
+        stream.write_all(&[said, ready.clone()].concat()).ok()?;
+    }
+}
+
+/// Holds a connection open without a word, until the server's life is over.
+fn silent(shared: &Shared, server: usize, life: u64) -> Option<()> {
+    loop {
+        std::thread::sleep(Duration::from_millis(50));
+        let state = shared.lock();
+        if state.over || state.servers[server].life != life {
+            return None;
+        }
+    }
+}
+
+/// Position, as a Unix time in milliseconds, and role, as the server itself sees them.
+fn stands(shared: &Shared, server: usize) -> (u64, bool) {
+    let state = shared.lock();
+    let found = &state.servers[server];
+    let position = if found.deposed { found.stuck } else { unix_millis() };
+    (position, found.leads)
+}
+
+fn insert(shared: &Shared, server: usize, life: u64, statement: &str) -> Option<Written> {
+    let (id, key) = (named(statement, "id")?, named(statement, "k")?);
+    let work = {
+        let mut state = shared.lock();
+        let part = 0.5 + state.rng.f64();
+        let found = &mut state.servers[server];
+        if found.life != life {
+            return None;
+        }
+        if !found.leads || found.closing {
+            return Some(Written::Miss);
+        }
+        found.busy += 1;
+        shared.shape.work.mul_f64(part)
+    };
+    std::thread::sleep(work);
+    let mut state = shared.lock();
+    let written = state.commit(shared, server, life, id, key);
+    shared.turned.notify_all();
+    Some(written)
+}
