--- a/crates/cli/tests/changes.rs
+++ b/crates/cli/tests/changes.rs
@@ -304,3 +304,59 @@
     let answered = asked.iter().filter(|one| matches!(one.reply, Reply::Value(_))).count();
     assert!(answered * 100 >= asked.len() * 90, "{told:?}: {}", rig.gateways[0].log());
 }
+
+/// A payment that is in a primary which hangs, and which is replaced so long after.
+#[test]
+fn in_doubt_a_payment_goes_on_within_its_window_and_fails_beyond_it() {
+    for (replaced_after, answered) in [(1_700, true), (2_300, false)] {
+        let rig = Rig::start(1, true, 17);
+        let gateway = &rig.gateways[0];
+        let mut client = Client::connect(gateway.address, Duration::from_secs(6)).expect("it connects");
+        assert!(matches!(client.ask(&payment("d0", 0)), Reply::Value(_)));
+        rig.store.hang(0);
+        // It would wait for longer than its window.
+        let statement = payment("d1", 0).replace("d=2000", "d=4000");
+        let (answer, took) = std::thread::scope(|scope| {
+            let began = Instant::now();
+            let asked = scope.spawn(|| client.ask(&statement));
+            std::thread::sleep(replaced_after * MS);
+            rig.store.crown(0, 1);
+            (asked.join().expect("an answer"), began.elapsed())
+        });
+        let rows = rig.store.ledger().iter().filter(|row| row.key == "d1").count();
+        println!("replaced after {replaced_after} ms: {answer:?} after {took:?}, {rows} rows");
+        assert_eq!(matches!(answer, Reply::Value(_)), answered, "{answer:?}: {}", gateway.log());
+        assert_eq!(rows, usize::from(answered));
+        assert!(answered || answer == Reply::Error("58000".into(), None), "{answer:?}");
+        assert!(took < Duration::from_millis(3_000), "{took:?}");
+    }
+}
+
+/// A planned change whose target dies, and one whose old primary dies, while writes are held.
+#[test]
+fn a_planned_change_that_turns_unplanned_loses_nothing() {
+    let rig = Rig::start(2, true, 19);
+    let gateway = &rig.gateways[0];
+    let mut client = Client::connect(gateway.address, Duration::from_secs(4)).expect("it connects");
+    for (shard, dies, leads) in [(0, 1, None), (1, 3, Some(5))] {
+        assert!(matches!(client.ask(&payment(&format!("p{shard}"), shard)), Reply::Value(_)));
+        let word = json!({"do": "plan", "shard": shard.to_string(), "to": Store::name(3 * shard + 1)});
+        assert_eq!(gateway.say(word), json!({"ok": true}));
+        gateway.wait_until("it holds", || gateway.shard(shard)["phase"] == "electing");
+        let key = format!("q{shard}");
+        let answer = std::thread::scope(|scope| {
+            let asked = scope.spawn(|| client.ask(&payment(&key, shard)));
+            gateway.wait_until("it is held", || gateway.shard(shard)["held"] == 1);
+            rig.store.kill(dies, Death::Before);
+            if let Some(leads) = leads {
+                std::thread::sleep(300 * MS);
+                rig.store.crown(shard, leads);
+            }
+            asked.join().expect("an answer")
+        });
+        assert!(matches!(answer, Reply::Value(_)), "shard {shard}: {answer:?}: {}", gateway.log());
+        let rows: Vec<_> = rig.store.ledger().into_iter().filter(|row| row.key == key).collect();
+        assert_eq!((rows.len(), rows[0].server), (1, leads.unwrap_or(3 * shard)));
+        assert_eq!(gateway.shard(shard)["held"], 0);
+    }
+}
--- a/crates/cli/tests/serving.rs
+++ b/crates/cli/tests/serving.rs
@@ -1,13 +1,11 @@
 //! The program on sockets, between stand-ins for clients, servers and discovery.
 
-#[path = "../../../tests/common/mod.rs"]
-mod common;
-
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
 
-use common::sockets::*;
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply, message, row};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
 
@@ -82,7 +80,7 @@
     ] {
         let (primary, replica) = (Server::start(true, primary), Server::start(false, replica));
         let (gateway, _changes) = gateway(&primary, &replica);
-        assert_eq!(gateway.client().query(&statement), expected, "{what}");
+        assert_eq!(gateway.client().ask(&statement), expected, "{what}");
         assert_eq!([primary.asked().len(), replica.asked().len()], reached, "{what}");
         // All but the wait goes on as it came.
         let unchanged = statement.split("d=1500").collect::<Vec<_>>();
@@ -104,19 +102,19 @@
     let (primary, replica) = (Server::start(true, script.clone()), Server::start(false, script));
     let (gateway, _changes) = gateway(&primary, &replica);
     let mut client = gateway.client();
-    assert!(matches!(client.query(&read(1)), Reply::Error(..)));
+    assert!(matches!(client.ask(&read(1)), Reply::Error(..)));
     for id in 2..12 {
-        assert!(matches!(client.query(&read(id)), Reply::Value(_)));
+        assert!(matches!(client.ask(&read(id)), Reply::Value(_)));
     }
     assert_eq!([primary.asked().len(), replica.asked().len()], [1, 11]);
     // Every answer brings a second copy of itself and noise, and is passed on once.
-    let twice = [answer(b"one"), message(b'Z', b"I"), answer(b"one"), b"noise".to_vec()].concat();
+    let twice = [row(b"one"), message(b'Z', b"I"), row(b"one"), b"noise".to_vec()].concat();
     let replica = Server::start(false, vec![Does::Says(twice)]);
     let (gateway, _changes) = self::gateway(&primary, &replica);
     let mut client = gateway.client();
     for id in 20..30 {
-        assert_eq!(client.query(&read(id)), Reply::Value(b"one".to_vec()));
-        assert_eq!(client.query(""), Reply::Empty);
+        assert_eq!(client.ask(&read(id)), Reply::Value(b"one".to_vec()));
+        assert_eq!(client.ask(""), Reply::Empty);
     }
     assert_eq!(replica.asked().len(), 10);
 }
@@ -129,7 +127,7 @@
     let (gateway, _changes) = gateway(&primary, &replica);
     let mut client = gateway.client();
     for id in 0..20 {
-        assert!(matches!(client.query(&read(id)), Reply::Value(_)), "{id}");
+        assert!(matches!(client.ask(&read(id)), Reply::Value(_)), "{id}");
     }
     // A statement may cross the end of its connection and go on to the primary; no more than that.
     assert!(replica.asked().len() >= 10, "{:?}", replica.asked());
@@ -144,7 +142,7 @@
     let entries = [entry("s1", dead, "up", true), entry("s2", replica.address, "up", false)];
     let (discovery, _changes) = discovery(list(1, true, &entries));
     let gateway = Gateway::start(PROGRAM, discovery);
-    assert_eq!(gateway.client().query(&write(1)), Reply::Value(b"\x9f\0\x03".to_vec()));
+    assert_eq!(gateway.client().ask(&write(1)), Reply::Value(b"\x9f\0\x03".to_vec()));
     assert_eq!(replica.asked().len(), 1);
 }
 
@@ -153,16 +151,16 @@
     let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
     let (gateway, changes) = gateway(&primary, &replica);
     let mut client = gateway.client();
-    client.query(&read(1));
+    client.ask(&read(1));
     changes.send(list(2, false, &[entry("s2", replica.address, "draining", false)])).expect("a watch");
     let mut id = 1;
     until("reads at the primary", || {
         id += 1;
-        assert!(matches!(client.query(&read(id)), Reply::Value(_)));
+        assert!(matches!(client.ask(&read(id)), Reply::Value(_)));
         !primary.asked().is_empty()
     });
     let before = replica.asked().len();
-    client.query(&read(1_000));
+    client.ask(&read(1_000));
     assert_eq!(replica.asked().len(), before);
 }
 
@@ -176,7 +174,7 @@
     let mut id = 0;
     until("three probes of each", || {
         id += 1;
-        assert!(matches!(client.query(&read(id)), Reply::Value(_)));
+        assert!(matches!(client.ask(&read(id)), Reply::Value(_)));
         primary.probes() >= 3 && replica.probes() >= 3
     });
 }
@@ -222,7 +220,7 @@
         let mut client = gateway.client();
         client.stream.write_all(&bytes).expect("it is sent");
         assert_eq!(client.reply(), Reply::Error(code.into(), None), "{what}");
-        let next = client.query(&read(7));
+        let next = client.ask(&read(7));
         assert_eq!(matches!(next, Reply::Value(_)), serves_on, "{what}: {next:?}");
     }
 }
@@ -263,9 +261,9 @@
     let (mut first, mut second) = (gateway.client(), gateway.client());
     first.send(&write(1));
     until("the write at the primary", || primary.asked().len() == 1);
-    assert_eq!(second.query(&write(1)), Reply::Error("42601".into(), None));
+    assert_eq!(second.ask(&write(1)), Reply::Error("42601".into(), None));
     assert_eq!(first.reply(), Reply::Value(b"late".to_vec()));
-    assert_eq!(second.query(&write(1)), Reply::Value(b"late".to_vec()));
+    assert_eq!(second.ask(&write(1)), Reply::Value(b"late".to_vec()));
     assert_eq!(primary.asked().len(), 2);
 }
 
@@ -282,7 +280,7 @@
         while writing.write_all(&many).is_ok() {}
     });
     for id in 0..50 {
-        assert!(matches!(other.query(&read(id)), Reply::Value(_)));
+        assert!(matches!(other.ask(&read(id)), Reply::Value(_)));
     }
 }
 
@@ -321,7 +319,7 @@
     drop(leaving);
     let mut client = gateway.client();
     for id in 2..12 {
-        assert_eq!(client.query(&read(id)), Reply::Value(b"\x9f\0\x03".to_vec()));
+        assert_eq!(client.ask(&read(id)), Reply::Value(b"\x9f\0\x03".to_vec()));
     }
 }
 
@@ -336,11 +334,11 @@
     until("the write at the primary", || primary.asked().len() == 1);
     gateway.signal("TERM");
     gateway.signal("TERM");
-    assert!(matches!(open.query(&read(2)), Reply::Value(_)));
-    assert!(matches!(gateway.client().query(&read(3)), Reply::Value(_)));
+    assert!(matches!(open.ask(&read(2)), Reply::Value(_)));
+    assert!(matches!(gateway.client().ask(&read(3)), Reply::Value(_)));
     // Another gateway may not be there yet: open connections serve on while their commands can still be answered.
     std::thread::sleep(Duration::from_millis(800));
-    assert!(matches!(open.query(&read(4)), Reply::Value(_)));
+    assert!(matches!(open.ask(&read(4)), Reply::Value(_)));
     assert_eq!(busy.reply(), Reply::Value(b"late".to_vec()));
     assert_eq!(open.reply(), Reply::Ended);
     assert!(gateway.ended());
@@ -357,7 +355,7 @@
     busy.send(&write(1));
     until("the write at the primary", || primary.asked().len() == 1);
     gateway.reload("nowhere");
-    assert!(matches!(open.query(&read(2)), Reply::Value(_)));
+    assert!(matches!(open.ask(&read(2)), Reply::Value(_)));
     for (version, health) in [(0, "draining"), (5, "up"), (3, "draining")] {
         let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, health, false)];
         let (another, _changes) = discovery(list(version, true, &entries));
@@ -405,10 +403,10 @@
     let (gateway, _changes) = gateway(&primary, &replica);
     let mut clients: Vec<Client> = (0..18).map(|_| gateway.client()).collect();
     for (id, client) in clients.iter_mut().enumerate() {
-        assert!(matches!(client.query(&read(id as u32)), Reply::Value(_)));
+        assert!(matches!(client.ask(&read(id as u32)), Reply::Value(_)));
     }
     assert_eq!([clients[0].reply(), clients[1].reply()], [Reply::Ended, Reply::Ended]);
-    assert!(matches!(clients[17].query(&read(18)), Reply::Value(_)));
+    assert!(matches!(clients[17].ask(&read(18)), Reply::Value(_)));
 }
 
 /// Guards against a listen queue that is left unserved while idle connections hold all descriptors.
@@ -417,7 +415,7 @@
     let (primary, replica) = (Server::start(true, vec![value()]), Server::start(false, vec![value()]));
     let (gateway, _changes) = gateway(&primary, &replica);
     let mut clients: Vec<Client> = (0..60).map(|_| gateway.client()).collect();
-    assert!(matches!(clients[59].query(&read(1)), Reply::Value(_)));
+    assert!(matches!(clients[59].ask(&read(1)), Reply::Value(_)));
     assert_eq!(clients[0].reply(), Reply::Ended);
-    assert_eq!(clients[58].query(""), Reply::Empty);
+    assert_eq!(clients[58].ask(""), Reply::Empty);
 }
--- a/crates/gateway/src/gateway/holds.rs
+++ b/crates/gateway/src/gateway/holds.rs
@@ -39,6 +39,7 @@
             gateways: deployment.gateways,
             usual: set.usual,
             look_every: if deployment.probes && deployment.reports { set.look_every } else { 0 },
+            suspect_after: set.suspect_after,
             doubt_for: set.doubt_for,
             ..Figures::default()
         };
--- a/crates/handover/src/interface.rs
+++ b/crates/handover/src/interface.rs
@@ -32,6 +32,8 @@
     pub usual: Micros,
     /// Between looks at a server while its shard's primary is sought; 0: servers can't be asked.
     pub look_every: Micros,
+    /// A primary that has not been heard since a write went there so long ago is asked how it stands.
+    pub suspect_after: Micros,
     /// How old what a server says of its position may be.
     pub report_age: Micros,
     /// A claim that was not renewed for so long gives way to another.
@@ -55,6 +57,7 @@
             gateways: 1,
             usual: 2_000_000,
             look_every: 50_000,
+            suspect_after: 250_000,
             report_age: 300_000,
             doubt_for: 1_500_000,
         }
--- a/crates/handover/src/phase.rs
+++ b/crates/handover/src/phase.rs
@@ -60,6 +60,8 @@
     pub lost: Option<Micros>,
     /// Breaks and silences since it was last heard.
     pub breaks: u32,
+    /// When it was last heard.
+    pub heard_at: Micros,
     /// When it was last asked how it stands.
     pub looked: Micros,
     /// It drains or is gone.
@@ -80,8 +82,8 @@
         self.leads() && self.claimed.is_some_and(|at| now <= at + within)
     }
 
-    pub fn heard(&mut self, position: Option<Micros>) {
-        (self.lost, self.breaks) = (None, 0);
+    pub fn heard(&mut self, now: Micros, position: Option<Micros>) {
+        (self.lost, self.breaks, self.heard_at) = (None, 0, now);
         // Positions never go back.
         self.position = self.position.max(position.unwrap_or(0));
     }
--- a/crates/handover/src/shard.rs
+++ b/crates/handover/src/shard.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Out {
     server: Option<usize>,
+    /// Since when it is out, or on its way.
+    since: Micros,
     session: Option<usize>,
 }
 
@@ -141,7 +143,7 @@
             if shard.phase.seeking() {
                 shard.scout = Some(write.id);
             }
-            let out = Out { server: None, session: write.session };
+            let out = Out { server: None, since: now, session: write.session };
             shard.out.insert(write.id, out);
             self.writes.insert(write.id, write.shard);
             return Admit::Pass;
@@ -214,7 +216,7 @@
         let shard = self.shards.entry(shard).or_default();
         let commit = shard.commit;
         let evidence = shard.servers.entry(server).or_default();
-        evidence.heard(position);
+        evidence.heard(now, position);
         // Guards against an old primary that comes back as it was: it stands short of what others have committed.
         let short = position.is_some_and(|position| position + figures.report_age < commit);
         if evidence.fenced && position.is_none() || short && shard.primary != Some(server) {
@@ -230,7 +232,7 @@
         let figures = &self.figures;
         let shard = self.shards.entry(shard).or_default();
         let evidence = shard.servers.entry(server).or_default();
-        evidence.heard(position);
+        evidence.heard(now, position);
         (evidence.denied, evidence.fenced) = (Some(now), false);
         shard.denied(figures, now, server);
     }
@@ -254,7 +256,7 @@
         let shard = self.shards.entry(place).or_default();
         shard.commit = shard.commit.max(commit.unwrap_or(0));
         let evidence = shard.servers.entry(server).or_default();
-        evidence.heard(commit);
+        evidence.heard(now, commit);
         if !evidence.fenced {
             evidence.claimed = Some(now);
             shard.weigh(figures, now, server);
@@ -615,7 +617,7 @@
             let Some(write) = self.held.remove(id, figures.round) else { break };
             *bytes -= write.bytes;
             sessions.extend(write.session);
-            self.out.insert(id, Out { server: None, session: write.session });
+            self.out.insert(id, Out { server: None, since: now, session: write.session });
             match self.phase {
                 phase if phase.seeking() => self.scout = Some(id),
                 Phase::Releasing => self.pace.released(now, rng),
@@ -637,13 +639,26 @@
         self.phase == Phase::Confirmed || !asked && (self.plan.is_none() || figures.look_every == 0)
     }
 
+    /// Since when the oldest write is out at a primary that was not heard since. Guards against a primary that hangs while
+    /// there is so little traffic that nothing else tells.
+    fn suspect(&self) -> Option<Micros> {
+        let (_, out) = self.out.first_key_value()?;
+        let server = out.server.filter(|server| self.primary == Some(*server))?;
+        (self.servers.get(&server)?.heard_at <= out.since).then_some(out.since)
+    }
+
     /// Servers to ask how they stand: while a primary is sought or two claim to be it.
     fn looks(&mut self, figures: &Figures, now: Micros, looks: &mut Vec<usize>) {
-        if self.phase.open() || self.phase == Phase::Releasing || figures.look_every == 0 {
+        if figures.look_every == 0 {
             return;
         }
+        let calm = self.phase.open() || self.phase == Phase::Releasing;
+        if calm && self.suspect().is_none_or(|since| now < since + figures.suspect_after) {
+            return;
+        }
+        let every = if calm { figures.suspect_after } else { figures.look_every };
         for (server, evidence) in &mut self.servers {
-            if evidence.looked + figures.look_every <= now {
+            if evidence.looked + every <= now {
                 evidence.looked = now;
                 looks.push(*server);
             }
@@ -661,6 +676,9 @@
             Phase::Draining => at = at.min(self.since + figures.drain_for),
             _ => {}
         }
+        if let Some(since) = self.suspect().filter(|_| figures.look_every > 0) {
+            at = at.min((since + figures.suspect_after).max(now + figures.look_every));
+        }
         if !self.phase.open() && self.phase != Phase::Releasing && figures.look_every > 0 {
             let next = self.servers.values().map(|evidence| evidence.looked + figures.look_every).min();
             at = at.min(next.unwrap_or(at));
--- a/crates/handover/tests/phases.rs
+++ b/crates/handover/tests/phases.rs
@@ -241,6 +241,24 @@
     assert_eq!((bench.phase(), bench.handover.status()[0].term), (Phase::Steady, 0));
 }
 
+#[test]
+fn a_primary_that_holds_a_write_without_a_word_is_asked() {
+    // Guards against a hung primary with so little traffic that nothing else tells of it.
+    for (heard, looks) in [(false, vec![1, 2, 3]), (true, vec![])] {
+        let mut bench = Bench::calm();
+        let write = bench.write();
+        bench.admit(&write);
+        bench.handover.allows(0, 1, write.id);
+        bench.now += 100 * MS;
+        if heard {
+            bench.claims(1);
+        }
+        assert_eq!(bench.handover.due(bench.now).looks, Vec::<usize>::new());
+        bench.now += 150 * MS;
+        assert_eq!(bench.handover.due(bench.now).looks, looks, "heard {heard}");
+    }
+}
+
 #[test]
 fn two_that_lead_get_nothing_until_evidence_decides() {
     type Happening = fn(&mut Bench);
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -83,6 +83,7 @@
     pub gap_least: Micros,
     pub usual: Micros,
     pub look_every: Micros,
+    pub suspect_after: Micros,
     pub doubt_for: Micros,
 }
 
@@ -103,6 +104,7 @@
             gap_least: 200,
             usual: 2_000_000,
             look_every: 50_000,
+            suspect_after: 250_000,
             doubt_for: 1_500_000,
         }
     }
@@ -125,6 +127,7 @@
             "gap_least",
             "usual",
             "look_every",
+            "suspect_after",
             "doubt_for",
         ])?;
         self.enabled = section.value("enabled", flag)?.unwrap_or(self.enabled);
@@ -162,6 +165,7 @@
             ("gap_least", &mut self.gap_least),
             ("usual", &mut self.usual),
             ("look_every", &mut self.look_every),
+            ("suspect_after", &mut self.suspect_after),
             ("doubt_for", &mut self.doubt_for),
         ] {
             *value = section.value(key, duration)?.unwrap_or(*value);
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -9,42 +9,61 @@
 /// What a client was answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    Value(Vec<u8>),
+    /// ReadyForQuery alone, as after the startup.
+    Ready,
     Empty,
-    /// A new try does no harm, best after so long.
-    Throttled(Duration),
-    Failed(String),
-    /// The connection ended first.
+    Value(Vec<u8>),
+    /// An error's code, and its field D.
+    Error(String, Option<String>),
+    /// The connection ended before ReadyForQuery.
     Ended,
 }
 
+impl Reply {
+    /// A new try does no harm.
+    pub fn throttled(&self) -> bool {
+        matches!(self, Reply::Error(code, _) if code == "53300" || code == "57P03")
+    }
+}
+
 pub struct Client {
-    stream: TcpStream,
+    pub stream: TcpStream,
 }
 
 impl Client {
+    /// Connects and waits until the other side is ready; `patience`: the longest wait for any answer.
     pub fn connect(address: SocketAddr, patience: Duration) -> std::io::Result<Client> {
         let mut stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(patience))?;
         stream.write_all(START)?;
         let mut client = Client { stream };
-        client.reply();
-        Ok(client)
+        match client.reply() {
+            Reply::Ready => Ok(client),
+            other => Err(std::io::Error::other(format!("{other:?}"))),
+        }
+    }
+
+    pub fn send(&mut self, statement: &str) {
+        let _ = self.stream.write_all(&message(b'Q', format!("{statement}\0").as_bytes()));
     }
 
     /// Sends a statement and waits for its answer.
     pub fn ask(&mut self, statement: &str) -> Reply {
-        let sent = self.stream.write_all(&message(b'Q', format!("{statement}\0").as_bytes()));
-        if sent.is_err() { Reply::Ended } else { self.reply() }
+        self.send(statement);
+        self.reply()
     }
 
-    fn reply(&mut self) -> Reply {
-        let mut reply = Reply::Empty;
+    /// Reads up to the next ReadyForQuery.
+    pub fn reply(&mut self) -> Reply {
+        let mut reply = Reply::Ready;
         loop {
-            let Ok((kind, body)) = read(&mut self.stream, true) else { return Reply::Ended };
+            let Ok((kind, body)) = read(&mut self.stream, true) else {
+                return if let Reply::Error(..) = reply { reply } else { Reply::Ended };
+            };
             match kind {
                 b'Z' => return reply,
+                b'I' => reply = Reply::Empty,
                 b'D' => reply = Reply::Value(body.get(6..).unwrap_or_default().to_vec()),
                 b'E' => {
                     let field = |name: u8| {
@@ -52,12 +71,7 @@
                         let found = fields.find(|field| field.first() == Some(&name));
                         found.map(|field| String::from_utf8_lossy(&field[1..]).into_owned())
                     };
-                    let code = field(b'C').unwrap_or_default();
-                    let back = field(b'D').and_then(|millis| millis.parse().ok()).unwrap_or(0);
-                    reply = match code.as_str() {
-                        "53300" | "57P03" => Reply::Throttled(Duration::from_millis(back)),
-                        _ => Reply::Failed(code),
-                    };
+                    reply = Reply::Error(field(b'C').unwrap_or_default(), field(b'D'));
                 }
                 _ => {}
             }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,11 +9,13 @@
 mod frames;
 mod load;
 mod script;
+pub mod scripted;
 mod serve;
 mod store;
 
 pub use client::{Client, Reply};
 pub use discovery::Discovery;
+pub use frames::{message, row};
 pub use load::{Asked, Load, Sum, adds_up, payment};
 pub use script::Script;
 pub use store::{Death, Row, Shape, Store};
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -125,15 +125,15 @@
                 sum.answered += 1;
                 count == 1
             }
-            Reply::Throttled(_) => {
+            throttled if throttled.throttled() => {
                 sum.throttled += 1;
                 count == 0
             }
-            Reply::Failed(_) => {
+            Reply::Error(..) => {
                 sum.failed += 1;
                 count <= 1
             }
-            Reply::Empty | Reply::Ended => false,
+            Reply::Ready | Reply::Empty | Reply::Ended => false,
         };
         if !agrees {
             return Err(format!("{one:?} stands {count} times in the ledger"));
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -8,6 +8,9 @@
 use crate::frames::{error, message, named, read, row, status};
 use crate::store::{Being, Shared, Written, unix_millis};
 
+/// How many times as long a cold server takes.
+const COLD: f64 = 4.0;
+
 /// Listens for a server; its address stays the same while it is down.
 pub(crate) fn listen(shared: Arc<Shared>, server: usize) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -114,7 +117,8 @@
             return Some(Written::Miss);
         }
         found.busy += 1;
-        shared.shape.work.mul_f64(part)
+        let cold = found.cold_until.is_some_and(|until| std::time::Instant::now() < until);
+        shared.shape.work.mul_f64(if cold { part * COLD } else { part })
     };
     std::thread::sleep(work);
     let mut state = shared.lock();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,13 +19,16 @@
     pub work: Duration,
     /// How long keys are remembered: the window, and the longest way of a message.
     pub window: Duration,
+    /// A server that comes back is cold for so long: each statement takes it four times the work.
+    pub cold: Duration,
     pub seed: u64,
 }
 
 impl Default for Shape {
     fn default() -> Self {
         let work = Duration::from_millis(4);
-        Shape { shards: 2, members: 3, work, window: Duration::from_millis(2_500), seed: 1 }
+        let (window, cold) = (Duration::from_millis(2_500), Duration::from_millis(500));
+        Shape { shards: 2, members: 3, work, window, cold, seed: 1 }
     }
 }
 
@@ -70,6 +73,8 @@
     pub death: Option<Death>,
     /// Rises with each death; what began in an earlier life ends with it.
     pub life: u64,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
     /// When it stopped, as a Unix time in milliseconds.
     pub stuck: u64,
     pub connections: Vec<TcpStream>,
@@ -188,6 +193,7 @@
             closing: false,
             death: None,
             life: 0,
+            cold_until: None,
             stuck: 0,
             connections: Vec::new(),
         });
@@ -274,6 +280,9 @@
     pub fn back(&self, server: usize, as_it_was: bool) {
         let mut state = self.shared.lock();
         let found = &mut state.servers[server];
+        if found.being == Being::Down {
+            found.cold_until = Some(Instant::now() + self.shared.shape.cold);
+        }
         found.being = Being::Up;
         if !as_it_was && found.deposed || !found.leads {
             (found.leads, found.deposed) = (false, false);
