Stand-in replicas that lag; plans taken back and aborts at every step under test

The stand-in store had no lag, so that a target which is not caught up was tested by tables alone. An abort in each phase leaves nothing held.

--- a/crates/cli/tests/changes.rs
+++ b/crates/cli/tests/changes.rs
@@ -360,3 +360,35 @@
         assert_eq!(gateway.shard(shard)["held"], 0);
     }
 }
+
+/// Reads follow the replicas that are fresh; a plan whose target lags takes itself back and holds nothing.
+#[test]
+fn a_target_that_lags_is_not_waited_for_and_reads_go_elsewhere() {
+    let rig = Rig::start(1, true, 23);
+    let gateway = &rig.gateways[0];
+    let mut client = Client::connect(gateway.address, Duration::from_secs(4)).expect("it connects");
+    assert!(matches!(client.ask(&payment("l0", 0)), Reply::Value(_)));
+    rig.store.lag(1, Duration::from_secs(20));
+    let read =
+        |id: usize| format!("SELECT v FROM records WHERE k = 'l0' /* id=r{id},c=lookup,d=1500,cluster=0 */");
+    for id in 0..20 {
+        assert!(matches!(client.ask(&read(id)), Reply::Value(_)), "{}", gateway.log());
+    }
+    // The newest commit lies beyond where the target stands.
+    std::thread::sleep(1_200 * MS);
+    assert!(matches!(client.ask(&payment("l1", 0)), Reply::Value(_)));
+    gateway.wait_until("its lag is known", || {
+        let id = 100 + rig.store.ledger().len() + usize::try_from(std::process::id()).unwrap_or(0);
+        client.ask(&read(id));
+        gateway.say(json!({"do": "plan", "shard": "0", "to": "s1"}))["ok"] == true
+    });
+    for round in 0..10 {
+        let began = Instant::now();
+        assert!(matches!(client.ask(&payment(&format!("m{round}"), 0)), Reply::Value(_)));
+        assert!(began.elapsed() < 300 * MS, "{:?}", began.elapsed());
+        assert_eq!(gateway.shard(0)["phase"], "announced", "{}", gateway.log());
+        std::thread::sleep(50 * MS);
+    }
+    gateway.wait_until("the plan takes itself back", || gateway.shard(0)["phase"] == "steady");
+    assert_eq!(gateway.shard(0)["target"], serde_json::Value::Null);
+}
--- a/crates/handover/tests/phases.rs
+++ b/crates/handover/tests/phases.rs
@@ -188,6 +188,38 @@
     }
 }
 
+#[test]
+fn an_abort_at_any_step_leaves_nothing_held() {
+    for step in [Phase::Announced, Phase::Draining, Phase::Electing, Phase::Confirmed] {
+        let mut bench = Bench::calm();
+        let out = bench.write();
+        bench.admit(&out);
+        bench.handover.allows(0, 1, out.id);
+        bench.handover.plan(bench.now, 0, 2).expect("it is taken");
+        if step != Phase::Announced {
+            bench.after(MS);
+            bench.held();
+            bench.held();
+        }
+        if step == Phase::Electing || step == Phase::Confirmed {
+            bench.handover.answered(bench.now, 0, 1, out.id, Some(bench.now));
+        }
+        if step == Phase::Confirmed {
+            bench.claims(2);
+        }
+        assert_eq!(bench.phase(), step);
+        // Once the target leads there is nothing to take back; what is held goes there.
+        let (said, leads) = if step == Phase::Confirmed { (Err(Refusal::Nothing), 2) } else { (Ok(()), 1) };
+        assert_eq!(bench.handover.abort(bench.now, 0), said, "{step:?}");
+        if step == Phase::Draining {
+            bench.handover.answered(bench.now, 0, 1, out.id, Some(bench.now));
+        }
+        bench.drain(leads);
+        let status = &bench.handover.status()[0];
+        assert_eq!((status.held, status.primary), (0, Some(leads)), "{step:?}");
+    }
+}
+
 #[test]
 fn a_target_that_does_not_catch_up_holds_nothing() {
     let mut bench = Bench::calm();
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -13,6 +13,8 @@
     Switch(usize, usize, Duration),
     Kill(usize, Death),
     Hang(usize),
+    /// How far a replica is behind from now on.
+    Lag(usize, Duration),
     Crown(usize),
     Back(usize, bool),
     /// The list tells who leads.
@@ -26,7 +28,7 @@
 }
 
 impl Script {
-    /// Reads `switch SHARD to SERVER after TIME`, `kill SERVER`, `kill SERVER after commit`, `hang SERVER`, `crown SERVER`,
+    /// Reads `switch SHARD to SERVER after TIME`, `kill SERVER`, `kill SERVER after commit`, `hang SERVER`, `lag SERVER TIME`, `crown SERVER`,
     /// `back SERVER`, `back SERVER as it was` and `list SERVER`.
     pub fn read(ini: &Ini, shards: usize, members: usize) -> Result<Script, Fault> {
         let mut steps = Vec::new();
@@ -53,6 +55,7 @@
                 Step::Switch(shard, to, gap) => store.switch(*shard, *to, *gap),
                 Step::Kill(server, death) => store.kill(*server, *death),
                 Step::Hang(server) => store.hang(*server),
+                Step::Lag(server, lag) => store.lag(*server, *lag),
                 Step::Crown(server) => store.crown(server / store.shared.shape.members, *server),
                 Step::Back(server, as_it_was) => store.back(*server, *as_it_was),
                 Step::List(server) => discovery.leads(*server, store.shared.shape.members),
@@ -79,6 +82,7 @@
         }
         ["kill", name] => Step::Kill(server(name)?, Death::Before),
         ["kill", name, "after", "commit"] => Step::Kill(server(name)?, Death::AfterCommit),
+        ["lag", name, lag] => Step::Lag(server(name)?, Duration::from_micros(duration(lag)?)),
         ["hang", name] => Step::Hang(server(name)?),
         ["crown", name] => Step::Crown(server(name)?),
         ["back", name] => Step::Back(server(name)?, false),
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -78,7 +78,12 @@
             std::thread::sleep(shared.shape.work / 2);
             let (position, leads) = stands(shared, server);
             let role = status("recovery", if leads { "off" } else { "on" });
-            [row(b"\x02"), status("lsn_ms", &position.to_string()), role].concat()
+            let bound = shared.shape.bound.as_millis() as u64;
+            let answer = match position + bound < unix_millis() {
+                true => error("72000", "too far behind"),
+                false => row(b"\x02"),
+            };
+            [answer, status("lsn_ms", &position.to_string()), role].concat()
         };
         alive()?;
         stream.write_all(&[said, ready.clone()].concat()).ok()?;
@@ -100,7 +105,11 @@
 fn stands(shared: &Shared, server: usize) -> (u64, bool) {
     let state = shared.lock();
     let found = &state.servers[server];
-    let position = if found.deposed { found.stuck } else { unix_millis() };
+    let position = match (found.deposed, found.leads) {
+        (true, _) => found.stuck,
+        (false, true) => unix_millis(),
+        (false, false) => unix_millis().saturating_sub(found.lag.as_millis() as u64),
+    };
     (position, found.leads)
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -21,6 +21,8 @@
     pub window: Duration,
     /// A server that comes back is cold for so long: each statement takes it four times the work.
     pub cold: Duration,
+    /// A replica that is further behind sends reads back.
+    pub bound: Duration,
     pub seed: u64,
 }
 
@@ -28,7 +30,7 @@
     fn default() -> Self {
         let work = Duration::from_millis(4);
         let (window, cold) = (Duration::from_millis(2_500), Duration::from_millis(500));
-        Shape { shards: 2, members: 3, work, window, cold, seed: 1 }
+        Shape { shards: 2, members: 3, work, window, cold, bound: Duration::from_secs(3), seed: 1 }
     }
 }
 
@@ -73,6 +75,8 @@
     pub death: Option<Death>,
     /// Rises with each death; what began in an earlier life ends with it.
     pub life: u64,
+    /// How far its log is behind, while it follows.
+    pub lag: Duration,
     /// Until when it is cold.
     pub cold_until: Option<Instant>,
     /// When it stopped, as a Unix time in milliseconds.
@@ -193,6 +197,7 @@
             closing: false,
             death: None,
             life: 0,
+            lag: Duration::ZERO,
             cold_until: None,
             stuck: 0,
             connections: Vec::new(),
@@ -271,6 +276,11 @@
         }
     }
 
+    /// From now on a replica's log is so far behind.
+    pub fn lag(&self, server: usize, lag: Duration) {
+        self.shared.lock().servers[server].lag = lag;
+    }
+
     pub fn hang(&self, server: usize) {
         let mut state = self.shared.lock();
         (state.servers[server].being, state.servers[server].stuck) = (Being::Hung, unix_millis());
