Say from the gateways' logs why commands were not answered in time: tansyjunction account

Change: Router::lacks says what each member of a command's group lacks for it, from the router's own checks, and decides nothing. At level debug the log's new part 'commands' has each step of each command; tansyjunction account adds them up by command group and cause, over time, and shows one command's way by its id. Off, a command pays for a look at a flag.

Unit test of each cause.

--- /dev/null
+++ b/crates/cli/src/account.rs
@@ -0,0 +1,338 @@
+//! `tansyjunction account`: from the logs of all gateways, with each step of each command, what became of the commands and
+//! why those that were not answered in time were not. Single commands can be followed through every gateway by their id.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use serde_json::Value as Json;
+
+use crate::line::print;
+
+#[derive(Args)]
+pub struct Line {
+    /// Logs of gateways, or folders of them, written with `format = json`, `level.commands = debug`, `lines_a_second = 0`.
+    #[arg(required = true)]
+    logs: Vec<PathBuf>,
+    /// Show every step of this command, by the id that its client gave it.
+    #[arg(long)]
+    id: Option<String>,
+    /// Seconds that one row of the course over time covers.
+    #[arg(long, default_value_t = 5)]
+    row: u64,
+    /// The most frequent states in which commands were given up.
+    #[arg(long, default_value_t = 12)]
+    most: usize,
+}
+
+/// One dispatch of a command: when, where to, and how it ended.
+#[derive(Default)]
+struct Sent {
+    at: u64,
+    server: String,
+    primary: bool,
+    cold: bool,
+    ended: Option<(u64, String)>,
+}
+
+/// A command as one gateway saw it. Times are microseconds of that gateway's clock.
+#[derive(Default)]
+struct Course {
+    id: String,
+    group: String,
+    at: u64,
+    target: u64,
+    sent: Vec<Sent>,
+    over: Option<(u64, String, String)>,
+}
+
+/// What is said of a course: the part of the account that it belongs to, empty where it was answered in time.
+fn cause(course: &Course) -> String {
+    let Some((over, what, lacks)) = &course.over else { return "cut off: its gateway ended".into() };
+    let late = over.saturating_sub(course.at) > course.target;
+    let endings: Vec<&str> = course.sent.iter().filter_map(|s| Some(s.ended.as_ref()?.1.as_str())).collect();
+    match what.as_str() {
+        "answered" if !late => String::new(),
+        "answered" => late_cause(course, &endings),
+        "left" if course.sent.iter().any(|sent| sent.ended.is_none()) => {
+            "its client left: a server had it".into()
+        }
+        "left" => "its client left: it was held".into(),
+        // Only what needs the primary finds a member to lack the role.
+        "throttled" => given_up(lacks, lacks.contains("Role")),
+        _ => format!("failed after {}", endings.last().unwrap_or(&"nothing")),
+    }
+}
+
+fn late_cause(course: &Course, endings: &[&str]) -> String {
+    let Some(last) = course.sent.last() else { return "late".into() };
+    let tried = endings.iter().rev().nth(1).filter(|_| course.sent.len() > 1);
+    match tried {
+        Some(ending) => format!("late: tried again after {ending}"),
+        None if last.at.saturating_sub(course.at) > course.target / 2 => "late: held for long".into(),
+        None if last.primary && last.cold => "late: a cold primary was slow".into(),
+        None if last.primary => "late: a primary was slow".into(),
+        None if last.cold => "late: a cold replica was slow".into(),
+        None => "late: a replica was slow".into(),
+    }
+}
+
+/// Why a command was throttled, from what each member lacked: for one that needs the primary, what that lacked; for any
+/// other, what the nearest to being of use lacked.
+fn given_up(lacks: &str, needs_primary: bool) -> String {
+    let words: Vec<&str> = lacks.split(' ').collect();
+    if needs_primary {
+        let primary = words.iter().find_map(|word| word.strip_prefix("primary:"));
+        return match primary.map(|word| (word.starts_with("cold:"), word.trim_start_matches("cold:"))) {
+            Some((true, word)) => format!("throttled: cold primary lacked {word}"),
+            Some((false, word)) => format!("throttled: primary lacked {word}"),
+            None => "throttled: no primary known".into(),
+        };
+    }
+    let has = |part: &str| words.iter().any(|word| word.ends_with(part));
+    let warm = |part: &str| words.iter().any(|word| *word == part);
+    let nearest = match () {
+        () if has("Nothing") => "a member lacked nothing any more",
+        () if warm("Room") => "warm replicas were full",
+        () if has("cold:Room") => "cold members were full",
+        () if has("Warmth") && has("Freshness") => "cold replicas at their bound, others too far behind",
+        () if has("Warmth") => "cold members at their bound",
+        () if has("primary:Room") => "the primary was full, replicas of no use",
+        () if has("Freshness") => "replicas too far behind",
+        () => "members down or silent",
+    };
+    format!("throttled: {nearest}")
+}
+
+/// Reads the steps of a log into courses, one after the other; a line that is none of ours is passed over.
+fn read(path: &Path, mut take: impl FnMut(&Json, Course)) -> Result<(), String> {
+    let file = std::fs::File::open(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let mut open: BTreeMap<u64, Course> = BTreeMap::new();
+    for line in BufReader::new(file).lines().map_while(Result::ok) {
+        let Some(start) = line.find('{') else { continue };
+        let Ok(json) = serde_json::from_str::<Json>(&line[start..]) else { continue };
+        let (Some(step), Some(command)) = (json["step"].as_str(), json["command"].as_u64()) else { continue };
+        let at = json["at"].as_u64().unwrap_or(0);
+        let text = |key: &str| json[key].as_str().unwrap_or_default().to_string();
+        if step == "taken" {
+            let target = json["target_us"].as_u64().unwrap_or(0);
+            let new = Course { id: text("id"), group: text("group"), at, target, ..Course::default() };
+            // A number that comes anew is of a gateway that was started again.
+            if let Some(cut) = open.insert(command, new) {
+                take(&json, cut);
+            }
+            continue;
+        }
+        let Some(course) = open.get_mut(&command) else { continue };
+        match step {
+            "sent" => {
+                let flag = |key: &str| json[key].as_bool().unwrap_or(false);
+                let (primary, cold) = (flag("primary"), flag("cold"));
+                course.sent.push(Sent { at, server: text("server"), primary, cold, ended: None });
+            }
+            "ended" => {
+                let place = json["dispatch"].as_u64().unwrap_or(0) as usize;
+                if let Some(sent) = course.sent.get_mut(place) {
+                    sent.ended = Some((at, text("ending")));
+                }
+            }
+            "over" if course.over.is_none() => course.over = Some((at, text("what"), text("lacks"))),
+            _ => {}
+        }
+        if course.over.is_some()
+            && course.sent.iter().all(|sent| sent.ended.is_some())
+            && let Some(course) = open.remove(&command)
+        {
+            take(&json, course);
+        }
+    }
+    open.into_values().for_each(|course| take(&Json::Null, course));
+    Ok(())
+}
+
+/// The files at a path: itself, or those of a folder.
+fn files(path: &Path) -> Result<Vec<PathBuf>, String> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_path_buf()]);
+    }
+    let listed = std::fs::read_dir(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let mut found: Vec<PathBuf> =
+        listed.flatten().map(|entry| entry.path()).filter(|path| path.is_file()).collect();
+    found.sort();
+    Ok(found)
+}
+
+/// Counts of one command group, and of each cause in it.
+#[derive(Default)]
+struct Sum {
+    all: u64,
+    in_time: u64,
+    causes: BTreeMap<String, u64>,
+}
+
+/// The whole account.
+#[derive(Default)]
+struct Account {
+    groups: BTreeMap<String, Sum>,
+    /// By row of time: all, in time, throttled.
+    rows: BTreeMap<u64, [u64; 3]>,
+    states: BTreeMap<String, u64>,
+}
+
+impl Account {
+    fn take(&mut self, course: &Course, row: u64) {
+        let why = cause(course);
+        let sum = self.groups.entry(course.group.clone()).or_default();
+        sum.all += 1;
+        let in_time = why.is_empty();
+        sum.in_time += u64::from(in_time);
+        if !in_time {
+            *sum.causes.entry(why).or_default() += 1;
+        }
+        let throttled = matches!(&course.over, Some((_, what, _)) if what == "throttled");
+        let counts = self.rows.entry(course.at / 1_000_000 / row.max(1)).or_default();
+        for (count, one) in counts.iter_mut().zip([true, in_time, throttled]) {
+            *count += u64::from(one);
+        }
+        if let Some((_, what, lacks)) = &course.over
+            && what == "throttled"
+        {
+            *self.states.entry(format!("{} {lacks}", course.group)).or_default() += 1;
+        }
+    }
+
+    fn text(&self, row: u64, most: usize) -> String {
+        let mut out = String::new();
+        let part = |n: u64, of: u64| 100.0 * n as f64 / of.max(1) as f64;
+        for (name, sum) in &self.groups {
+            let _ = writeln!(out, "{name}: {} tries, {:.1}% in time", sum.all, part(sum.in_time, sum.all));
+            let mut causes: Vec<_> = sum.causes.iter().collect();
+            causes.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+            for (why, count) in causes {
+                let _ = writeln!(out, "  {:>6.1}%  {count:>7}  {why}", part(*count, sum.all));
+            }
+        }
+        let first = self.rows.keys().next().copied().unwrap_or(0);
+        let _ = writeln!(out, "course, by {row} s: tries, in time, throttled");
+        for (at, [all, in_time, throttled]) in &self.rows {
+            let (ok, no) = (part(*in_time, *all), part(*throttled, *all));
+            let _ = writeln!(out, "  {:>4} s  {all:>7}  {ok:>5.1}%  {no:>5.1}%", (at - first) * row);
+        }
+        let mut states: Vec<_> = self.states.iter().collect();
+        states.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+        let _ = writeln!(out, "given up most often with these members:");
+        for (state, count) in states.into_iter().take(most) {
+            let _ = writeln!(out, "  {count:>7}  {state}");
+        }
+        out
+    }
+}
+
+fn steps(path: &Path, course: &Course) -> String {
+    let since = |at: u64| at.saturating_sub(course.at) as f64 / 1e3;
+    let mut out = format!("{}: {} {} at {}\n", path.display(), course.id, course.group, course.at);
+    for sent in &course.sent {
+        let role = if sent.primary { "primary" } else { "replica" };
+        let cold = if sent.cold { "cold " } else { "" };
+        let _ = writeln!(out, "  {:>9.1} ms  sent to {}, a {cold}{role}", since(sent.at), sent.server);
+        if let Some((at, ending)) = &sent.ended {
+            let _ = writeln!(out, "  {:>9.1} ms  {} ended: {ending}", since(*at), sent.server);
+        }
+    }
+    let _ = match &course.over {
+        Some((at, what, lacks)) => writeln!(out, "  {:>9.1} ms  {what} {lacks}", since(*at)),
+        None => writeln!(out, "  no end in the log"),
+    };
+    out
+}
+
+pub fn run(line: &Line) -> Result<(), String> {
+    let (mut account, mut found) = (Account::default(), String::new());
+    for path in line.logs.iter().map(|path| files(path)).collect::<Result<Vec<_>, _>>()?.concat() {
+        read(&path, |_, course| {
+            if line.id.as_ref().is_some_and(|id| *id == course.id) {
+                found += &steps(&path, &course);
+            }
+            account.take(&course, line.row);
+        })?;
+    }
+    match &line.id {
+        Some(id) if found.is_empty() => Err(format!("no gateway's log has the command '{id}'")),
+        Some(_) => print(&found),
+        None if account.groups.is_empty() => Err("there is no step of any command in these logs".into()),
+        None => print(&account.text(line.row.max(1), line.most)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_course_has_its_cause() {
+        let line = |text: &str| text.replace('\'', "\"");
+        let taken = |n: u32| {
+            line(&format!("{{'step':'taken','command':{n},'id':'c{n}','at':0,'group':'g','target_us':400}}"))
+        };
+        let over = |n: u32, at: u32, what: &str, lacks: &str| {
+            line(&format!("{{'step':'over','command':{n},'at':{at},'what':'{what}','lacks':'{lacks}'}}"))
+        };
+        let sent = |n: u32, at: u32, primary: bool| {
+            line(&format!(
+                "{{'step':'sent','command':{n},'at':{at},'server':'s','primary':{primary},'cold':false}}"
+            ))
+        };
+        let ended = |n: u32, dispatch: u32, ending: &str| {
+            line(&format!(
+                "{{'step':'ended','command':{n},'at':9,'dispatch':{dispatch},'ending':'{ending}'}}"
+            ))
+        };
+        let cases = [
+            (vec![sent(1, 1, true), ended(1, 0, "Answered"), over(1, 399, "answered", "")], ""),
+            (
+                vec![sent(1, 1, true), ended(1, 0, "Answered"), over(1, 900, "answered", "")],
+                "late: a primary was slow",
+            ),
+            (
+                vec![sent(1, 300, false), ended(1, 0, "Answered"), over(1, 900, "answered", "")],
+                "late: held for long",
+            ),
+            (
+                vec![
+                    sent(1, 1, false),
+                    ended(1, 0, "Reset"),
+                    sent(1, 2, false),
+                    ended(1, 1, "Answered"),
+                    over(1, 900, "answered", ""),
+                ],
+                "late: tried again after Reset",
+            ),
+            (
+                vec![over(1, 9, "throttled", "Role primary:cold:Warmth")],
+                "throttled: cold primary lacked Warmth",
+            ),
+            (vec![over(1, 9, "throttled", "Role")], "throttled: no primary known"),
+            (
+                vec![over(1, 9, "throttled", "Freshness cold:Warmth primary:Room")],
+                "throttled: cold replicas at their bound, others too far behind",
+            ),
+            (vec![over(1, 9, "throttled", "Room primary:Room")], "throttled: warm replicas were full"),
+            (vec![sent(1, 1, true), ended(1, 0, "Reset"), over(1, 9, "failed", "")], "failed after Reset"),
+            (
+                vec![sent(1, 1, true), over(1, 9, "left", ""), ended(1, 0, "Recalled")],
+                "its client left: it was held",
+            ),
+            (vec![sent(1, 1, true)], "cut off: its gateway ended"),
+        ];
+        for (steps, expected) in cases {
+            let file = tempfile::NamedTempFile::new().expect("a file");
+            let text = [vec!["not ours".into(), taken(1)], steps.clone(), vec![taken(1)]].concat().join("\n");
+            std::fs::write(file.path(), text).expect("written");
+            let mut causes = Vec::new();
+            read(file.path(), |_, course| causes.push(cause(&course))).expect("read");
+            assert_eq!(causes[0], expected, "{steps:?}");
+        }
+    }
+}
--- a/crates/cli/src/line.rs
+++ b/crates/cli/src/line.rs
@@ -9,7 +9,7 @@
 use tansyjunction_gateway::{Deployment, serve};
 use tansyjunction_settings::Program;
 
-use crate::{demo, expect, handover, log};
+use crate::{account, demo, expect, handover, log};
 
 #[derive(Parser)]
 #[command(name = "tansyjunction", version, about = "Steers reads and writes in replicated stores")]
@@ -28,6 +28,8 @@
     Expect(Box<expect::Line>),
     /// Show it at work: a store, two gateways and clients on loopback, with changes of primary.
     Demo(demo::Line),
+    /// Say from gateways' logs what became of the commands, and why some were not answered in time.
+    Account(account::Line),
     /// Announce a change of primary to gateways, take it back, or see how it goes.
     Handover(handover::Line),
     /// Write a shell's completions to standard output.
@@ -57,6 +59,7 @@
 pub fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Expect(line) => return expect::main(*line),
+        Command::Account(line) => account::run(&line),
         Command::Demo(line) => demo::run(&line),
         Command::Handover(line) => handover::run(&line),
         Command::Serve(source) => source.program().and_then(|program| {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod holds;
+mod steps;
 
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
@@ -101,6 +102,9 @@
     servers: Servers,
     watch: Watch,
     listener: Option<Listener>,
+    /// Each step of each command is logged, and what members lacked for the one asked about last.
+    steps: bool,
+    lacking: Vec<Lacking>,
     due: DueTimes<Due>,
     /// Clients whose next message may be taken.
     resume: VecDeque<u64>,
@@ -140,6 +144,8 @@
             servers: Servers::default(),
             watch: Watch { connection: None, version: None, pause: WATCH_AGAIN, due: Reminder::default() },
             listener: Some(listener),
+            steps: steps::wanted(),
+            lacking: Vec::new(),
             due: DueTimes::default(),
             resume: VecDeque::new(),
             router_due: 0,
@@ -347,6 +353,7 @@
         let in_hand = InHand { command, id: head.id.into(), length, wait_at: head.wait_at };
         self.clients.waits(key, in_hand);
         self.commands.take(command, taken);
+        self.step_taken(command);
         // Guards against a first question that is not asked at the arrival: the router tells new commands by that.
         self.ask_at(now, command);
     }
@@ -370,6 +377,7 @@
         let Some((client, command)) = self.clients.remove(key) else { return };
         self.handle.remove(client.token);
         if let Some(command) = command {
+            self.step_left(command);
             self.commands.client_gone(&mut self.router, self.clock.now(), command);
             self.no_longer_held(command);
         }
@@ -390,7 +398,9 @@
 
     fn ask_router(&mut self, now: Micros, command: u64) {
         self.router_due = now;
+        self.step_asked(now, command);
         let Some((place, recall)) = self.commands.ask(&mut self.router, now, command) else { return };
+        self.step_placed(command, &place);
         let dispatch = self.commands.dispatches(command).unwrap_or(0).saturating_sub(1);
         for dispatch in recall {
             self.recall(command, dispatch);
@@ -427,6 +437,7 @@
             }
             Final::Failed => frames::error("ERROR", "58000", "the command failed; it may have run", None),
         };
+        self.step_given_up(command, last);
         let Some(client) = self.clients.waiting_for(command) else { return };
         let written = client.answer(&[&error, frames::READY]);
         self.answered(command, written);
@@ -435,6 +446,7 @@
     /// The client that waits for a command has its final answer.
     fn answered(&mut self, command: u64, written: Next) {
         let now = self.clock.now();
+        self.step_over(now, command);
         self.no_longer_held(command);
         let Some(key) = self.clients.answering(command, now) else { return };
         if let Next::Close = written {
@@ -448,6 +460,7 @@
         let now = self.clock.now();
         let Some(sent) = self.commands.sent(command, dispatch) else { return };
         self.heard_of_role(now, command, dispatch, ending, &said);
+        self.step_ended(now, command, dispatch, ending);
         let outcome = Outcome {
             dispatch,
             ending,
--- /dev/null
+++ b/crates/gateway/src/gateway/steps.rs
@@ -0,0 +1,83 @@
+//! Each step of each command as a line of the log, part `commands` at debug, for `tansyjunction account`. Off, as it is
+//! unless the settings ask for it, nothing of this costs more than a look at a flag.
+
+use tansyjunction::interface::*;
+use tracing::debug;
+
+use super::Gateway;
+
+/// Whether the log wants them; read once, at the start.
+pub fn wanted() -> bool {
+    tracing::enabled!(target: "commands", tracing::Level::DEBUG)
+}
+
+/// A number for each lack, with what tells a cold member and a primary: `primary:Room cold:Warmth Freshness`.
+fn in_words(lacking: &[Lacking]) -> String {
+    let word = |one: &Lacking| {
+        let cold = if one.cold { "cold:" } else { "" };
+        format!("{}{cold}{:?}", if one.primary { "primary:" } else { "" }, one.lack)
+    };
+    let mut words: Vec<String> = lacking.iter().map(word).collect();
+    words.sort();
+    words.dedup();
+    words.join(" ")
+}
+
+impl Gateway {
+    pub(super) fn step_taken(&self, command: u64) {
+        let Some(held) = self.commands.held(command).filter(|_| self.steps) else { return };
+        let Some(in_hand) = self.in_hand(command) else { return };
+        let (cmd, kind) = (&held.command, &self.deployment.command_groups[held.command.command_group]);
+        let (wait, target) = (cmd.client_timeout.saturating_sub(cmd.arrived), kind.response_target);
+        debug!(target: "commands", step = "taken", command, id = %in_hand, at = cmd.arrived, group = %kind.name, wait, target_us = target);
+    }
+
+    fn in_hand(&self, command: u64) -> Option<String> {
+        let client = self.clients.client_of(command)?;
+        Some(self.clients.see(client)?.in_hand.as_ref()?.id.clone())
+    }
+
+    /// Keeps what the members lack as the router is asked, in case it gives the command up or sends it on.
+    pub(super) fn step_asked(&mut self, now: Micros, command: u64) {
+        let Some(held) = self.commands.held(command).filter(|_| self.steps) else { return };
+        self.lacking = self.router.lacks(now, held);
+    }
+
+    pub(super) fn step_placed(&self, command: u64, place: &Place) {
+        let Place::Dispatch { server, .. } = place else { return };
+        if !self.steps {
+            return;
+        }
+        let found = self.lacking.iter().find(|one| one.server == *server);
+        let (primary, cold) = found.map_or((false, false), |one| (one.primary, one.cold));
+        let (at, name) = (self.clock.now(), self.servers_named.name(*server));
+        debug!(target: "commands", step = "sent", command, at, server = name, primary, cold);
+    }
+
+    pub(super) fn step_ended(&self, at: Micros, command: u64, dispatch: usize, ending: Ending) {
+        if self.steps {
+            debug!(target: "commands", step = "ended", command, at, dispatch, ending = ?ending);
+        }
+    }
+
+    pub(super) fn step_given_up(&self, command: u64, last: Final) {
+        if self.steps {
+            let what = if last == Final::Failed { "failed" } else { "throttled" };
+            let (at, lacks) = (self.clock.now(), in_words(&self.lacking));
+            debug!(target: "commands", step = "over", command, at, what, lacks);
+        }
+    }
+
+    /// Its client has an answer; one that was given up has had its line.
+    pub(super) fn step_over(&self, at: Micros, command: u64) {
+        if self.steps {
+            debug!(target: "commands", step = "over", command, at, what = "answered");
+        }
+    }
+
+    pub(super) fn step_left(&self, command: u64) {
+        if self.steps {
+            debug!(target: "commands", step = "over", command, at = self.clock.now(), what = "left");
+        }
+    }
+}
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -21,6 +21,8 @@
     /// Only the primary takes them; how long one may be repeated by its key, in its group.
     pub primary: bool,
     pub repeat_within: Micros,
+    /// For the log alone.
+    pub response_target: Micros,
 }
 
 /// What this gateway was told of the deployment that it serves.
@@ -111,6 +113,7 @@
                     _ => 0,
                 },
                 writes: each["effect"] != "pure" || need == "mutate",
+                response_target: (each["aim"].as_f64().unwrap_or(0.0) / NANOS) as Micros,
             })
         });
         let limit = |key: &str| match &settings["limits"][key] {
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -11,7 +11,7 @@
 use crate::values::{duration, flag, one_of, unknown, whole};
 
 /// The parts of the program whose log lines have a level of their own.
-pub const PARTS: [&str; 5] = ["start", "clients", "servers", "discovery", "limits"];
+pub const PARTS: [&str; 6] = ["start", "clients", "servers", "discovery", "limits", "commands"];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,6 +17,8 @@
 //! 5. Warming: a cold member gets the part of an average member's commands that its warmth allows, drawn by lot.
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
 
+mod lacks;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,3 +175,35 @@
     /// Ask for the server list, and for its changes from now on.
     pub watch: bool,
 }
+
+/// What a member lacks for a command; the first of these that holds, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lack {
+    /// By the list it drains or is gone.
+    Serving,
+    /// It is down, or refused connections of late.
+    Reach,
+    /// It is silent or fails much.
+    Wellness,
+    /// The command needs the primary, and it is not known as that.
+    Role,
+    /// This command has been there.
+    AnotherTry,
+    /// Its data is too old.
+    Freshness,
+    /// It is cold and gets no more.
+    Warmth,
+    /// It has as many commands as it answers in time, or told of a queue.
+    Room,
+    Nothing,
+}
+
+/// What a member lacks, from [`Router::lacks`](crate::Router::lacks).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lacking {
+    pub server: usize,
+    pub primary: bool,
+    /// It has started of late.
+    pub cold: bool,
+    pub lack: Lack,
+}
