Decide which gateways live and what they saw: crates/fellows, membership and evidence

Change: membership by the crate foca, with what it leaves open decided here: an observer that misses answers stretches its own waits and accuses nobody while it hears nobody; a pause of the process counts against itself; two under one name outbid each other until the lower tag yields; more patience with other regions. Evidence by source, life and number, merged to the same end in any order, with its age at the source, bounded for each source and forgotten. Datagrams of 256 bytes with a keyed hash (blake3), each counts once, and none that lay for long. Nothing uses it yet.

--- a/crates/cli/src/account.rs
+++ b/crates/cli/src/account.rs
@@ -92,7 +92,7 @@
         };
     }
     let has = |part: &str| words.iter().any(|word| word.ends_with(part));
-    let warm = |part: &str| words.iter().any(|word| *word == part);
+    let warm = |part: &str| words.contains(&part);
     let nearest = match () {
         () if has("Nothing") => "a member lacked nothing any more",
         () if warm("Room") => "warm replicas were full",
--- /dev/null
+++ b/crates/fellows/src/evidence.rs
@@ -0,0 +1,220 @@
+//! What each gateway has seen of the servers, with its age where it was seen. Items merge in any order, any number of times,
+//! to the same end: of one source about one thing the latest counts, and of one told twice the older age.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use tansyjunction::interface::Micros;
+
+/// What can be seen of a server. Positions and times are microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Fact {
+    /// It answered, refused connections, or took commands and answered none.
+    Answers,
+    Refuses,
+    Hangs,
+    /// It said of itself that it is the primary, or that it is none.
+    Leads,
+    Follows,
+    /// Up to where it has applied the log, by its own word.
+    At(u64),
+    /// The list calls it draining or gone.
+    Drains,
+    /// So many hundredths of what a warm one of its size does, as its age tells.
+    Warmth(u8),
+    /// Hundredths of its room that this gateway's commands fill.
+    Room(u8),
+    /// Of a fellow: it is suspected; of itself: it leaves of its own will.
+    Suspects,
+    Leaves,
+}
+
+/// Facts that stand in each other's place: of one source about one server, one of each kind is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    Reach,
+    Role,
+    Position,
+    Drain,
+    Warmth,
+    Room,
+    Fellow,
+}
+
+impl Fact {
+    pub fn kind(self) -> Kind {
+        match self {
+            Fact::Answers | Fact::Refuses | Fact::Hangs => Kind::Reach,
+            Fact::Leads | Fact::Follows => Kind::Role,
+            Fact::At(_) => Kind::Position,
+            Fact::Drains => Kind::Drain,
+            Fact::Warmth(_) => Kind::Warmth,
+            Fact::Room(_) => Kind::Room,
+            Fact::Suspects | Fact::Leaves => Kind::Fellow,
+        }
+    }
+}
+
+/// One thing that one gateway saw, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    pub source: String,
+    pub zone: u8,
+    pub life: u64,
+    pub seq: u32,
+    pub subject: String,
+    pub fact: Fact,
+    /// Milliseconds since it was seen, where it is told; rounded up.
+    pub age: u32,
+}
+
+/// One thing that one gateway saw, as it is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    pub zone: u8,
+    pub life: u64,
+    pub seq: u32,
+    pub fact: Fact,
+    /// When it was seen, by this gateway's clock.
+    pub at: Micros,
+    /// How often it was passed on from here.
+    pub told: u32,
+}
+
+/// Source, subject and kind.
+type Key = (String, String, Kind);
+
+/// All that is known of what others saw, and what this gateway saw itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    items: BTreeMap<Key, Kept>,
+    /// By source: how many items there are.
+    counts: BTreeMap<String, usize>,
+    keep_for: Micros,
+    most: usize,
+}
+
+impl Evidence {
+    /// Items are forgotten `keep_for` after they were seen; a source has `most` at a time.
+    pub fn new(keep_for: Micros, most: usize) -> Self {
+        Evidence { items: BTreeMap::new(), counts: BTreeMap::new(), keep_for, most }
+    }
+
+    /// Takes in an item that was on its way for `late`; true: it told something new.
+    pub fn merge(&mut self, now: Micros, item: &Item, late: Micros) -> bool {
+        let age = Micros::from(item.age) * 1_000 + late;
+        if age > self.keep_for {
+            return false;
+        }
+        let at = now.saturating_sub(age);
+        let key = (item.source.clone(), item.subject.clone(), item.fact.kind());
+        let new = Kept { zone: item.zone, life: item.life, seq: item.seq, fact: item.fact, at, told: 0 };
+        if let Some(known) = self.items.get_mut(&key) {
+            // Of one source's item told twice the older age is kept, and of two that contradict each other under one
+            // number always the same one: the order of arrival must not matter.
+            let (old, latest) = ((known.life, known.seq, known.fact), (new.life, new.seq, new.fact));
+            match latest.cmp(&old) {
+                std::cmp::Ordering::Less => return false,
+                std::cmp::Ordering::Equal => {
+                    known.at = known.at.min(at);
+                    return false;
+                }
+                std::cmp::Ordering::Greater => {
+                    *known = new;
+                    return true;
+                }
+            }
+        }
+        // Guards against a source that tells without end: it pushes out its own oldest, never another's.
+        let count = self.counts.entry(item.source.clone()).or_default();
+        if *count >= self.most {
+            let own = self.of(&item.source).map(|(key, kept)| (kept.at, key.clone()));
+            let Some((oldest, place)) = own.min() else { return false };
+            if oldest >= at {
+                return false;
+            }
+            self.remove(&place);
+        }
+        *self.counts.entry(item.source.clone()).or_default() += 1;
+        self.items.insert(key, new);
+        true
+    }
+
+    fn of(&self, source: &str) -> impl Iterator<Item = (&Key, &Kept)> {
+        let (source, first) = (source.to_string(), (source.to_string(), String::new(), Kind::Reach));
+        self.items.range(first..).take_while(move |(key, _)| key.0 == source)
+    }
+
+    fn remove(&mut self, key: &Key) {
+        if self.items.remove(key).is_some()
+            && let Some(count) = self.counts.get_mut(&key.0)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&key.0);
+            }
+        }
+    }
+
+    /// Drops what is too old.
+    pub fn fade(&mut self, now: Micros) {
+        let old = |kept: &Kept| kept.at + self.keep_for < now;
+        let gone: Vec<Key> =
+            self.items.iter().filter(|(_, kept)| old(kept)).map(|(key, _)| key.clone()).collect();
+        gone.iter().for_each(|key| self.remove(key));
+    }
+
+    /// A source counts no longer: it has left or is another life's.
+    pub fn forget(&mut self, source: &str, before: u64) {
+        let gone: Vec<Key> =
+            self.of(source).filter(|(_, kept)| kept.life < before).map(|(key, _)| key.clone()).collect();
+        gone.iter().for_each(|key| self.remove(key));
+    }
+
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Source, subject and what was seen, in a fixed order.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &str, &Kept)> {
+        self.items.iter().map(|((source, subject, _), kept)| (source.as_str(), subject.as_str(), kept))
+    }
+
+    /// What is to be passed on next, within `room` bytes: what was told least often, and of that the newest. Each item
+    /// is told at most `times` by this gateway.
+    pub fn next(&mut self, now: Micros, room: usize, times: u32) -> Vec<Item> {
+        let mut due: Vec<(u32, std::cmp::Reverse<Micros>, Key)> = Vec::new();
+        for (key, kept) in &self.items {
+            if kept.told < times {
+                due.push((kept.told, std::cmp::Reverse(kept.at), key.clone()));
+            }
+        }
+        due.sort();
+        let (mut items, mut used) = (Vec::new(), 2);
+        for (_, _, key) in due {
+            let Some(kept) = self.items.get_mut(&key) else { continue };
+            let age = now.saturating_sub(kept.at).div_ceil(1_000);
+            let item = Item {
+                source: key.0,
+                zone: kept.zone,
+                life: kept.life,
+                seq: kept.seq,
+                subject: key.1,
+                fact: kept.fact,
+                age: u32::try_from(age).unwrap_or(u32::MAX),
+            };
+            let size = postcard::to_stdvec(&item).map_or(usize::MAX, |bytes| bytes.len());
+            if used + size > room {
+                break;
+            }
+            used += size;
+            kept.told += 1;
+            items.push(item);
+        }
+        items
+    }
+}
--- /dev/null
+++ b/crates/fellows/src/opinion.rs
@@ -0,0 +1,112 @@
+//! What many observers together say of a server. One observer weighs one, however much it tells; those whose own network
+//! seems broken weigh nothing; a zone that accuses by itself is a zone in trouble before the server is.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use tansyjunction::interface::Micros;
+
+use crate::evidence::{Evidence, Fact, Kind};
+
+/// An accuser of more than this part of what it tells of is taken to be in trouble itself.
+const ACCUSES_MOST: f64 = 0.5;
+/// Fewer things told of say nothing about their teller.
+const ACCUSES_LEAST: usize = 4;
+
+/// What is said of one server. Ages are microseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Opinion {
+    /// Observers that it answered, refused or let hang, and the zones that they stand in.
+    pub answers: usize,
+    pub refuses: usize,
+    pub hangs: usize,
+    pub accusing_zones: usize,
+    pub answering_zones: usize,
+    /// The age of the newest word that it leads, or that it follows.
+    pub leads: Option<Micros>,
+    pub follows: Option<Micros>,
+    /// The furthest position that anybody heard of; positions only grow.
+    pub position: Option<u64>,
+    /// Observers whom the list told that it drains.
+    pub drains: usize,
+    /// The lowest warmth told, and the mean of the room filled, in hundredths.
+    pub warmth: Option<u8>,
+    pub room: Option<u8>,
+}
+
+impl Opinion {
+    /// Known bad: two observers at least, more than those whom it answers, from two zones or where only one sees it.
+    pub fn is_bad(&self) -> bool {
+        let against = self.refuses + self.hangs;
+        against >= 2 && against > self.answers && (self.accusing_zones >= 2 || self.answering_zones == 0)
+    }
+}
+
+/// Observers that accuse most of what they tell of: their own network is the likelier to be broken.
+pub fn doubtful(evidence: &Evidence) -> BTreeSet<String> {
+    let mut told: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for (source, _, kept) in evidence.all().filter(|(_, _, kept)| kept.fact.kind() == Kind::Reach) {
+        let (against, all) = told.entry(source).or_default();
+        *against += usize::from(kept.fact != Fact::Answers);
+        *all += 1;
+    }
+    let doubtful = |(against, all): &(usize, usize)| {
+        *all >= ACCUSES_LEAST && *against as f64 > ACCUSES_MOST * *all as f64
+    };
+    told.into_iter().filter(|(_, counts)| doubtful(counts)).map(|(source, _)| source.to_string()).collect()
+}
+
+/// What is said of each server by all but `own`, whose answers count for themselves, and but those in doubt.
+pub fn opinions(now: Micros, evidence: &Evidence, own: &str) -> BTreeMap<String, Opinion> {
+    let doubtful = doubtful(evidence);
+    let mut found: BTreeMap<String, Opinion> = BTreeMap::new();
+    let mut zones: BTreeMap<(String, bool), BTreeSet<u8>> = BTreeMap::new();
+    let mut rooms: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    for (source, subject, kept) in evidence.all() {
+        if source == own || doubtful.contains(source) || kept.fact.kind() == Kind::Fellow {
+            continue;
+        }
+        let opinion = found.entry(subject.into()).or_default();
+        let age = now.saturating_sub(kept.at);
+        let newest = |known: Option<Micros>| Some(known.map_or(age, |known| known.min(age)));
+        match kept.fact {
+            Fact::Answers => opinion.answers += 1,
+            Fact::Refuses => opinion.refuses += 1,
+            Fact::Hangs => opinion.hangs += 1,
+            Fact::Leads => opinion.leads = newest(opinion.leads),
+            Fact::Follows => opinion.follows = newest(opinion.follows),
+            Fact::At(position) => opinion.position = opinion.position.max(Some(position)),
+            Fact::Drains => opinion.drains += 1,
+            Fact::Warmth(warmth) => {
+                opinion.warmth = Some(opinion.warmth.map_or(warmth, |known| known.min(warmth)));
+            }
+            Fact::Room(room) => {
+                let (sum, count) = rooms.entry(subject.into()).or_default();
+                (*sum, *count) = (*sum + u32::from(room), *count + 1);
+                opinion.room = u8::try_from(*sum / *count).ok();
+            }
+            Fact::Suspects | Fact::Leaves => {}
+        }
+        if kept.fact.kind() == Kind::Reach {
+            zones.entry((subject.into(), kept.fact == Fact::Answers)).or_default().insert(kept.zone);
+        }
+    }
+    for ((subject, answering), zones) in zones {
+        let Some(opinion) = found.get_mut(&subject) else { continue };
+        *(if answering { &mut opinion.answering_zones } else { &mut opinion.accusing_zones }) = zones.len();
+    }
+    found
+}
+
+/// The member of a shard that leads by what others heard of late: the newest word of a leader that nobody has since
+/// heard to follow. `members` are the shard's servers by the list.
+pub fn leader<'a>(
+    opinions: &BTreeMap<String, Opinion>,
+    members: impl Iterator<Item = &'a str>,
+) -> Option<(&'a str, Micros)> {
+    let told = members.filter_map(|member| {
+        let opinion = opinions.get(member)?;
+        let leads = opinion.leads?;
+        opinion.follows.is_none_or(|follows| leads < follows).then_some((leads, member))
+    });
+    told.min().map(|(age, member)| (member, age))
+}
--- /dev/null
+++ b/crates/fellows/tests/membership.rs
@@ -0,0 +1,208 @@
+//! Membership under each failure that it is built for, in a virtual network.
+
+mod common;
+
+use common::*;
+use tansyjunction_fellows::Terms;
+use tansyjunction_fellows::evidence::Fact;
+use tansyjunction_fellows::members::{News, Standing};
+
+fn all(count: usize) -> Vec<usize> {
+    (0..count).collect()
+}
+
+fn joined(seed: u64, count: usize) -> Net {
+    let mut net = Net::with(seed, count, Terms::default());
+    let nodes = all(count);
+    assert!(net.until(30 * SECOND, |net| net.agreed(&nodes)).is_some(), "seed {seed}: all know each other");
+    net
+}
+
+/// News of deaths that any of these gateways told since the last look.
+fn deaths(net: &mut Net, by: &[usize]) -> Vec<(usize, String)> {
+    let mut found = Vec::new();
+    for place in by {
+        for news in net.nodes[*place].fellows.take_news() {
+            if let News::Down(fellow) = news {
+                found.push((*place, fellow.name));
+            }
+        }
+    }
+    found
+}
+
+#[test]
+fn one_that_dies_is_found_by_all_and_comes_back_under_its_name() {
+    for seed in 1..=5 {
+        let mut net = joined(seed, 9);
+        let others: Vec<usize> = all(9).into_iter().filter(|n| *n != 4).collect();
+        net.nodes[4].up = false;
+        let dead = |net: &Net| others.iter().all(|by| net.stands(*by, 4) == Some(Standing::Down));
+        assert!(net.until(30 * SECOND, dead).is_some(), "seed {seed}");
+        net.start(4, "n4", 2_000);
+        assert!(net.until(30 * SECOND, |net| net.agreed(&all(9))).is_some(), "seed {seed}: it is back");
+    }
+}
+
+#[test]
+fn a_restart_whose_clock_jumped_back_is_taken_up_as_the_newer_life() {
+    let mut net = joined(7, 6);
+    net.nodes[2].up = false;
+    net.run(SECOND);
+    net.start(2, "n2", 5);
+    assert!(net.until(40 * SECOND, |net| net.agreed(&all(6))).is_some());
+    assert!(net.nodes[2].fellows.members().me().life > 1_000);
+}
+
+#[test]
+fn one_that_leaves_is_gone_at_once_and_no_zone_is_called_dark() {
+    let mut net = joined(3, 9);
+    // All of zone 1, one after the other, as in a rolling restart.
+    for place in [1, 4, 7] {
+        let now = net.now;
+        net.nodes[place].fellows.leave(now);
+        net.carry(place);
+        net.run(SECOND / 20);
+        net.nodes[place].up = false;
+        net.run(3 * SECOND);
+    }
+    for by in [0, 3, 6, 2, 5, 8] {
+        assert_eq!(net.stands(by, 1), Some(Standing::Down));
+        assert!(net.nodes[by].fellows.dark_zones().is_empty(), "{by}");
+    }
+}
+
+#[test]
+fn a_dark_zone_is_told_from_outside_and_accuses_nobody_it_hears_from_inside() {
+    for seed in [4, 5, 6] {
+        let mut net = joined(seed, 12);
+        let (inside, outside): (Vec<usize>, Vec<usize>) = all(12).into_iter().partition(|n| n % 3 == 1);
+        net.cut_between(&inside, &outside);
+        net.run(40 * SECOND);
+        assert!(net.agreed(&inside) && net.agreed(&outside), "seed {seed}");
+        for by in &outside {
+            assert_eq!(net.nodes[*by].fellows.dark_zones(), [(0, 1)], "seed {seed}");
+        }
+        for by in &inside {
+            assert_eq!(net.nodes[*by].fellows.dark_zones(), [(0, 0), (1, 2)], "seed {seed}");
+        }
+        net.cut.clear();
+        assert!(net.until(60 * SECOND, |net| net.agreed(&all(12))).is_some(), "seed {seed}: it heals");
+        assert!(all(12).iter().all(|by| net.nodes[*by].fellows.dark_zones().is_empty()));
+    }
+}
+
+#[test]
+fn a_third_lost_doubled_and_reordered_kills_nobody() {
+    for seed in 1..=3 {
+        let mut net = joined(seed, 15);
+        deaths(&mut net, &all(15));
+        (net.loss, net.doubles, net.delay) = (0.3, 0.3, (500, 60_000));
+        net.run(60 * SECOND);
+        assert_eq!(deaths(&mut net, &all(15)), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn one_that_hears_nobody_accuses_nobody() {
+    let mut net = joined(2, 9);
+    let others: Vec<usize> = all(9).into_iter().filter(|n| *n != 3).collect();
+    deaths(&mut net, &all(9));
+    // Its words get out, none gets in.
+    net.cut.extend(others.iter().map(|other| (*other, 3)));
+    net.run(60 * SECOND);
+    assert_eq!(deaths(&mut net, &[3]), []);
+    let told = deaths(&mut net, &others);
+    assert!(told.iter().all(|(_, name)| name == "n3"), "{told:?}");
+    net.cut.clear();
+    assert!(net.until(30 * SECOND, |net| net.agreed(&all(9))).is_some());
+}
+
+#[test]
+fn a_pause_of_five_seconds_takes_nobody_for_dead() {
+    for seed in 1..=5 {
+        let mut net = joined(seed, 9);
+        deaths(&mut net, &all(9));
+        net.nodes[5].paused = net.now + 5 * SECOND;
+        net.run(20 * SECOND);
+        assert_eq!(deaths(&mut net, &[5]), [], "seed {seed}");
+        assert!(net.until(30 * SECOND, |net| net.agreed(&all(9))).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn of_two_with_one_name_one_keeps_it() {
+    for seed in 1..=4 {
+        let mut net = joined(seed, 6);
+        net.start(6, "n2", 3_000);
+        net.run(60 * SECOND);
+        let yields: Vec<bool> = [2, 6].iter().map(|n| net.nodes[*n].fellows.members().yields()).collect();
+        assert_eq!(yields.iter().filter(|yields| **yields).count(), 1, "seed {seed}: {yields:?}");
+        let stays = if yields[0] { 6 } else { 2 };
+        let six = [0, 1, 3, 4, 5, stays];
+        assert!(net.until(30 * SECOND, |net| net.agreed(&six)).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn seven_in_ten_killed_in_one_second_are_found_and_come_back() {
+    let mut net = joined(9, 30);
+    let (killed, left): (Vec<usize>, Vec<usize>) = all(30).into_iter().partition(|n| n % 10 < 7);
+    killed.iter().for_each(|place| net.nodes[*place].up = false);
+    let found = |net: &Net| {
+        left.iter().all(|by| killed.iter().all(|of| net.stands(*by, *of) == Some(Standing::Down)))
+    };
+    assert!(net.until(90 * SECOND, found).is_some());
+    for place in &killed {
+        net.start(*place, &format!("n{place}"), 9_000);
+    }
+    assert!(net.until(60 * SECOND, |net| net.agreed(&all(30))).is_some());
+}
+
+#[test]
+fn what_one_saw_reaches_all_with_its_age_and_fades() {
+    let mut net = joined(8, 15);
+    let now = net.now;
+    net.nodes[0].fellows.saw(now, "s1", Fact::Refuses);
+    let told =
+        |net: &Net, n: usize| net.nodes[n].fellows.evidence().all().any(|(_, subject, _)| subject == "s1");
+    let took = net.until(15 * SECOND, |net| all(15).iter().all(|n| told(net, *n)));
+    assert!(took.is_some());
+    for node in &net.nodes {
+        let (_, _, kept) =
+            node.fellows.evidence().all().find(|(_, subject, _)| *subject == "s1").expect("told");
+        // No clock but the own ones: the age is right to some milliseconds a hop, and never told too young by more.
+        let off = kept.at.abs_diff(now);
+        assert!(off < 50_000, "{off}");
+    }
+    net.run(35 * SECOND);
+    assert!(all(15).iter().all(|n| !told(&net, *n)));
+}
+
+#[test]
+fn datagrams_that_lay_for_long_or_are_not_sealed_change_nothing() {
+    let mut net = joined(6, 6);
+    let now = net.now;
+    net.nodes[1].fellows.saw(now, "s9", Fact::Hangs);
+    net.nodes[1].fellows.settle(now + SECOND / 5);
+    let caught = net.nodes[1].fellows.take_out();
+    net.run(10 * SECOND);
+    for (_, bytes) in &caught {
+        let at = net.now;
+        net.deliver(at, 0, bytes.clone());
+        let mut bent = bytes.clone();
+        bent[4] ^= 9;
+        net.deliver(at, 0, bent);
+    }
+    let before = net.nodes[0].fellows.counts().heard;
+    let evidence = net.nodes[0].fellows.evidence().clone();
+    let standing = net.nodes[0].fellows.members().living().count();
+    let at = net.now;
+    net.run(1_000);
+    assert!(!caught.is_empty() && net.now == at + 1_000);
+    assert_eq!(net.nodes[0].fellows.members().living().count(), standing);
+    let fresh = net.nodes[0].fellows.counts().heard - before;
+    assert!(fresh <= 2, "{fresh} of the network's own");
+    assert_eq!(net.nodes[0].fellows.evidence().len(), evidence.len());
+    assert!(net.nodes[0].fellows.counts().refused.values().sum::<u64>() >= 2 * caught.len() as u64);
+}
