--- a/crates/cli/src/account.rs
+++ b/crates/cli/src/account.rs
@@ -107,12 +107,15 @@
 }
 
 /// Reads the steps of a log into courses, one after the other; a line that is none of ours is passed over.
-fn read(path: &Path, mut take: impl FnMut(&Json, Course)) -> Result<(), String> {
+fn read(path: &Path, mut take: impl FnMut(Course), mut opened: impl FnMut(bool)) -> Result<(), String> {
     let file = std::fs::File::open(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let mut open: BTreeMap<u64, Course> = BTreeMap::new();
     for line in BufReader::new(file).lines().map_while(Result::ok) {
         let Some(start) = line.find('{') else { continue };
         let Ok(json) = serde_json::from_str::<Json>(&line[start..]) else { continue };
+        if json["step"] == "opened" {
+            opened(json["probe"] == true);
+        }
         let (Some(step), Some(command)) = (json["step"].as_str(), json["command"].as_u64()) else { continue };
         let at = json["at"].as_u64().unwrap_or(0);
         let text = |key: &str| json[key].as_str().unwrap_or_default().to_string();
@@ -121,7 +124,7 @@
             let new = Course { id: text("id"), group: text("group"), at, target, ..Course::default() };
             // A number that comes anew is of a gateway that was started again.
             if let Some(cut) = open.insert(command, new) {
-                take(&json, cut);
+                take(cut);
             }
             continue;
         }
@@ -145,10 +148,10 @@
             && course.sent.iter().all(|sent| sent.ended.is_some())
             && let Some(course) = open.remove(&command)
         {
-            take(&json, course);
+            take(course);
         }
     }
-    open.into_values().for_each(|course| take(&Json::Null, course));
+    open.into_values().for_each(take);
     Ok(())
 }
 
@@ -249,20 +252,26 @@
 }
 
 pub fn run(line: &Line) -> Result<(), String> {
-    let (mut account, mut found) = (Account::default(), String::new());
+    let (mut account, mut found, mut opened) = (Account::default(), String::new(), [0; 2]);
     for path in line.logs.iter().map(|path| files(path)).collect::<Result<Vec<_>, _>>()?.concat() {
-        read(&path, |_, course| {
+        let take = |course: Course| {
             if line.id.as_ref().is_some_and(|id| *id == course.id) {
                 found += &steps(&path, &course);
             }
             account.take(&course, line.row);
-        })?;
+        };
+        read(&path, take, |probe| opened[usize::from(probe)] += 1)?;
     }
     match &line.id {
         Some(id) if found.is_empty() => Err(format!("no gateway's log has the command '{id}'")),
         Some(_) => print(&found),
         None if account.groups.is_empty() => Err("there is no step of any command in these logs".into()),
-        None => print(&account.text(line.row.max(1), line.most)),
+        None => print(&format!(
+            "{}connections to servers: {} opened for commands, {} for probes\n",
+            account.text(line.row.max(1), line.most),
+            opened[0],
+            opened[1]
+        )),
     }
 }
 
@@ -331,7 +340,7 @@
             let text = [vec!["not ours".into(), taken(1)], steps.clone(), vec![taken(1)]].concat().join("\n");
             std::fs::write(file.path(), text).expect("written");
             let mut causes = Vec::new();
-            read(file.path(), |_, course| causes.push(cause(&course))).expect("read");
+            read(file.path(), |course| causes.push(cause(&course)), |_| {}).expect("read");
             assert_eq!(causes[0], expected, "{steps:?}");
         }
     }
--- /dev/null
+++ b/crates/cli/src/fellows.rs
@@ -0,0 +1,84 @@
+//! `tansyjunction fellows`: how a gateway sees the others.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use serde_json::{Value as Json, json};
+
+use crate::handover::ask;
+use crate::line::print;
+
+#[derive(Args)]
+pub struct Line {
+    /// The control socket of a gateway, as its settings name it; once for each gateway.
+    #[arg(long, required = true)]
+    socket: Vec<PathBuf>,
+    /// Show what was seen of the servers too, with its age.
+    #[arg(long)]
+    evidence: bool,
+    /// A line of JSON for each gateway.
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(line: &Line) -> Result<(), String> {
+    for path in &line.socket {
+        let answer = ask(path, &json!({"do": "fellows"}))?;
+        print(&if line.json { format!("{answer}\n") } else { view(&answer, line.evidence) })?;
+    }
+    Ok(())
+}
+
+fn text(value: &Json) -> String {
+    value.as_str().unwrap_or("-").to_string()
+}
+
+/// How a gateway sees the others, as text.
+fn view(answer: &Json, evidence: bool) -> String {
+    let rows = |key: &str| answer[key].as_array().cloned().unwrap_or_default();
+    let names = |value: &Json| {
+        let names: Vec<&str> = value.as_array().into_iter().flatten().filter_map(Json::as_str).collect();
+        names.join(", ")
+    };
+    let mut out = format!(
+        "gateway {}, zone {}, region {}, health {}{}; {} datagrams sent ({} bytes), {} heard, refused {}\n",
+        text(&answer["gateway"]),
+        text(&answer["zone"]),
+        text(&answer["region"]),
+        answer["health"],
+        if answer["yields"] == true { ", SILENT: another gateway has its name" } else { "" },
+        answer["sent"],
+        answer["sent_bytes"],
+        answer["heard"],
+        answer["refused"],
+    );
+    let dark = names(&answer["dark"]);
+    if !dark.is_empty() {
+        out += &format!("  no gateway is heard of in zones: {dark}\n");
+    }
+    out += &format!(
+        "  {:<16}{:<10}{:<10}{:<10}{:>10}  {}\n",
+        "name", "zone", "region", "stands", "for", "suspected by"
+    );
+    for one in rows("members") {
+        out += &format!(
+            "  {:<16}{:<10}{:<10}{:<10}{:>8.1} s  {}\n",
+            text(&one["name"]),
+            text(&one["zone"]),
+            text(&one["region"]),
+            text(&one["standing"]),
+            one["for_ms"].as_f64().unwrap_or(0.0) / 1e3,
+            names(&one["suspected_by"]),
+        );
+    }
+    for one in rows("evidence").iter().filter(|_| evidence) {
+        out += &format!(
+            "  {:<16}{:<16}{:<24}{:>8.1} s ago\n",
+            text(&one["source"]),
+            text(&one["subject"]),
+            text(&one["fact"]),
+            one["age_ms"].as_f64().unwrap_or(0.0) / 1e3,
+        );
+    }
+    out
+}
--- a/crates/cli/src/line.rs
+++ b/crates/cli/src/line.rs
@@ -9,7 +9,7 @@
 use tansyjunction_gateway::{Deployment, serve};
 use tansyjunction_settings::Program;
 
-use crate::{account, demo, expect, handover, log};
+use crate::{account, demo, expect, fellows, handover, log, rig};
 
 #[derive(Parser)]
 #[command(name = "tansyjunction", version, about = "Steers reads and writes in replicated stores")]
@@ -30,6 +30,10 @@
     Demo(demo::Line),
     /// Say from gateways' logs what became of the commands, and why some were not answered in time.
     Account(account::Line),
+    /// Show how gateways see each other, and what they saw of the servers.
+    Fellows(fellows::Line),
+    /// Start many gateways on loopback, put faults between them and judge what they did.
+    Rig(rig::Line),
     /// Announce a change of primary to gateways, take it back, or see how it goes.
     Handover(handover::Line),
     /// Write a shell's completions to standard output.
@@ -60,6 +64,8 @@
     let done = match Line::parse().command {
         Command::Expect(line) => return expect::main(*line),
         Command::Account(line) => account::run(&line),
+        Command::Fellows(line) => fellows::run(&line),
+        Command::Rig(line) => rig::run(&line),
         Command::Demo(line) => demo::run(&line),
         Command::Handover(line) => handover::run(&line),
         Command::Serve(source) => source.program().and_then(|program| {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,9 +3,11 @@
 mod account;
 mod demo;
 mod expect;
+mod fellows;
 mod handover;
 mod line;
 mod log;
+mod rig;
 
 use std::process::ExitCode;
 
--- a/crates/fellows/src/evidence.rs
+++ b/crates/fellows/src/evidence.rs
@@ -179,6 +179,11 @@
         self.items.is_empty()
     }
 
+    /// What a source said last of a subject, of this kind.
+    pub fn get(&self, source: &str, subject: &str, kind: Kind) -> Option<&Kept> {
+        self.items.get(&(source.to_string(), subject.to_string(), kind))
+    }
+
     /// Source, subject and what was seen, in a fixed order.
     pub fn all(&self) -> impl Iterator<Item = (&str, &str, &Kept)> {
         self.items.iter().map(|((source, subject, _), kept)| (source.as_str(), subject.as_str(), kept))
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tansyjunction::interface::Micros;
 
-use crate::evidence::{Evidence, Fact, Item};
+use crate::evidence::{Evidence, Fact, Item, Kind};
 use crate::identity::Fellow;
 use crate::members::{Figures, Members, News, Standing};
 use crate::opinion::{self, Opinion};
@@ -16,6 +16,8 @@
 const TELLS: u32 = 6;
 /// An own observation that has not changed is told anew after this part of the time for which it is kept.
 const ANEW: Micros = 3;
+/// A position is told anew after so many rounds.
+const POSITIONS: Micros = 5;
 /// Fading looks at every item, so not at each turn.
 const FADE_EVERY: Micros = 1_000_000;
 
@@ -171,20 +173,20 @@
         let Some(known) = known.map(|seen| seen.fellow.clone()) else { return };
         if known.life > from.life && now >= self.later_due {
             self.later_due = now + self.terms.members.period;
-            self.send(now, from.address, &Body::Later(known));
+            self.send(now, self.members.reach(&from), &Body::Later(known));
         }
     }
 
-    /// This gateway saw something of a server. The same again is told anew only now and then.
+    /// This gateway saw something of a server. The same again is told anew only now and then, and so is a position, which
+    /// always moves.
     pub fn saw(&mut self, now: Micros, subject: &str, fact: Fact) {
         let me = self.members.me();
-        let same = |(source, of, kept): (&str, &str, &crate::evidence::Kept)| {
-            let moved = matches!((kept.fact, fact), (Fact::At(_), Fact::At(_)));
-            let old = kept.at + self.terms.keep_for / ANEW;
-            source == me.name && of == subject && (kept.fact == fact || moved) && now < old
-        };
-        if self.evidence.all().any(same) {
-            return;
+        if let Some(kept) = self.evidence.get(&me.name, subject, fact.kind()) {
+            let moves = matches!((kept.fact, fact), (Fact::At(_), Fact::At(_)));
+            let anew = if moves { self.terms.tell_every * POSITIONS } else { self.terms.keep_for / ANEW };
+            if (kept.fact == fact || moves) && now < kept.at + anew {
+                return;
+            }
         }
         self.seq += 1;
         let item = Item {
@@ -222,7 +224,8 @@
 
     /// Passes evidence on to one that lives.
     fn tell(&mut self, now: Micros) {
-        let living: Vec<SocketAddr> = self.members.living().map(|seen| seen.fellow.address).collect();
+        let living: Vec<SocketAddr> =
+            self.members.living().map(|seen| self.members.reach(&seen.fellow)).collect();
         if living.is_empty() {
             return;
         }
@@ -255,7 +258,8 @@
     pub fn leave(&mut self, now: Micros) {
         let me = self.members.me().name.clone();
         self.saw(now, &me, Fact::Leaves);
-        let living: Vec<SocketAddr> = self.members.living().map(|seen| seen.fellow.address).collect();
+        let living: Vec<SocketAddr> =
+            self.members.living().map(|seen| self.members.reach(&seen.fellow)).collect();
         let own: Vec<Item> =
             self.evidence.next(now, self.terms.most / 2, u32::MAX).into_iter().take(1).collect();
         for to in living.into_iter().take(3) {
@@ -269,10 +273,8 @@
     /// Whether one that is down went of its own will, as it told.
     pub fn left(&self, name: &str) -> bool {
         let life = self.members.all().find(|seen| seen.fellow.name == name).map(|seen| seen.fellow.life);
-        let farewell = |(source, subject, kept): (&str, &str, &crate::evidence::Kept)| {
-            source == name && subject == name && kept.fact == Fact::Leaves && Some(kept.life) == life
-        };
-        self.evidence.all().any(farewell)
+        let told = self.evidence.get(name, name, Kind::Fellow);
+        told.is_some_and(|kept| kept.fact == Fact::Leaves && Some(kept.life) == life)
     }
 
     /// Zones none of whose gateways lives though some were met there, and not all left of their own will.
--- a/crates/fellows/src/members.rs
+++ b/crates/fellows/src/members.rs
@@ -101,7 +101,7 @@
     timers: BTreeMap<(Micros, u64), (Timer<Fellow>, Micros)>,
     count: u64,
     seen: BTreeMap<String, Seen>,
-    seeds: Vec<(String, SocketAddr)>,
+    seeds: BTreeMap<String, SocketAddr>,
     asked: usize,
     join_due: Micros,
     deaf: bool,
@@ -170,6 +170,11 @@
         self.swim.identity()
     }
 
+    /// Where another one is sent to: as the settings say, or else as it says itself.
+    pub fn reach(&self, to: &Fellow) -> SocketAddr {
+        self.seeds.get(&to.name).copied().unwrap_or(to.address)
+    }
+
     pub fn health(&self) -> u32 {
         self.health.score()
     }
@@ -342,7 +347,8 @@
     /// Asks some to be let in: those that were met, and those that the settings name, in turn.
     fn join(&mut self, now: Micros) {
         let met = self.seen.values().map(|seen| (seen.fellow.name.clone(), seen.fellow.address));
-        let known: BTreeMap<String, SocketAddr> = self.seeds.iter().cloned().chain(met).collect();
+        let mut known = self.seeds.clone();
+        known.extend(met);
         for _ in 0..ASKED.min(known.len()) {
             self.asked = self.asked.wrapping_add(1);
             let Some((name, address)) = known.iter().nth(self.asked % known.len()) else { return };
@@ -369,7 +375,7 @@
         let mut runtime = AccumulatingRuntime::new();
         let _ = call(&mut self.swim, &mut runtime);
         while let Some((to, body)) = runtime.to_send() {
-            self.out.push((to.address, body.to_vec()));
+            self.out.push((self.reach(&to), body.to_vec()));
         }
         while let Some((delay, timer)) = runtime.to_schedule() {
             if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
--- a/crates/fellows/src/opinion.rs
+++ b/crates/fellows/src/opinion.rs
@@ -97,16 +97,38 @@
     found
 }
 
-/// The member of a shard that leads by what others heard of late: the newest word of a leader that nobody has since
-/// heard to follow. `members` are the shard's servers by the list.
-pub fn leader<'a>(
-    opinions: &BTreeMap<String, Opinion>,
-    members: impl Iterator<Item = &'a str>,
-) -> Option<(&'a str, Micros)> {
-    let told = members.filter_map(|member| {
-        let opinion = opinions.get(member)?;
-        let leads = opinion.leads?;
-        opinion.follows.is_none_or(|follows| leads < follows).then_some((leads, member))
-    });
-    told.min().map(|(age, member)| (member, age))
+/// The member of a shard that leads by what others heard, and when the newest word of it was heard. Each observer has one
+/// voice, for the member that it last heard to lead, unless somebody has since heard that one to follow, or this
+/// observer found it gone since. Guards against one observer that is wrong, or lies: it has one voice.
+pub fn leader<'a>(evidence: &Evidence, own: &str, members: &[&'a str]) -> Option<(&'a str, Micros)> {
+    let mut last: BTreeMap<&str, (Micros, &'a str)> = BTreeMap::new();
+    let mut denied: BTreeMap<&str, Micros> = BTreeMap::new();
+    let doubtful = doubtful(evidence);
+    let counts = |source: &str| source != own && !doubtful.contains(source);
+    for (source, subject, kept) in evidence.all().filter(|(source, _, _)| counts(source)) {
+        let Some(member) = members.iter().find(|member| **member == subject) else { continue };
+        match kept.fact {
+            Fact::Leads => {
+                let heard = last.entry(source).or_insert((kept.at, member));
+                *heard = (*heard).max((kept.at, member));
+            }
+            Fact::Follows => {
+                let heard = denied.entry(member).or_default();
+                *heard = (*heard).max(kept.at);
+            }
+            _ => {}
+        }
+    }
+    let mut voices: BTreeMap<&str, (usize, Micros)> = BTreeMap::new();
+    for (source, (at, member)) in last {
+        let reach = evidence.get(source, member, Kind::Reach);
+        let gone = reach.is_some_and(|kept| kept.fact != Fact::Answers && kept.at > at);
+        if gone || denied.get(member).is_some_and(|denied| *denied > at) {
+            continue;
+        }
+        let (count, newest) = voices.entry(member).or_default();
+        (*count, *newest) = (*count + 1, (*newest).max(at));
+    }
+    let most = voices.into_iter().max_by_key(|(_, voices)| *voices);
+    most.map(|(member, (_, at))| (member, at))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The middle of the gateway: what is read becomes calls on the router, and its answers become messages. Nothing is
 //! decided here. All state hangs on [`Gateway`], which the loop hands to every callback.
 
+mod company;
 mod control;
 mod holds;
 mod steps;
@@ -17,6 +18,7 @@
 use tansyjunction_settings::Program;
 use tracing::{error, info, warn};
 
+use self::company::Company;
 use self::control::Controls;
 use self::holds::Holds;
 use crate::memory::clients::Clients;
@@ -112,6 +114,8 @@
     router_due: Micros,
     /// What is held while a primary is replaced; None: nothing is.
     holds: Option<Holds>,
+    /// The other gateways; None: they are not minded.
+    company: Option<Company>,
     controls: Controls,
     /// Numbers for connections and commands; none is used twice.
     last: u64,
@@ -150,6 +154,7 @@
             resume: VecDeque::new(),
             router_due: 0,
             holds: Holds::new(&deployment, program),
+            company: None,
             controls: Controls::default(),
             last: 0,
             ready: false,
@@ -461,6 +466,7 @@
         let Some(sent) = self.commands.sent(command, dispatch) else { return };
         self.heard_of_role(now, command, dispatch, ending, &said);
         self.step_ended(now, command, dispatch, ending);
+        self.saw_outcome(now, command, dispatch, ending, &said);
         let outcome = Outcome {
             dispatch,
             ending,
@@ -517,6 +523,7 @@
         };
         let watched = self.watch(stream, move |gateway, readiness| gateway.line_ready(key, readiness));
         let Ok((stream, token)) = watched else { return Err(Ending::Unsent) };
+        self.step_opened(server, &job);
         self.servers.add(key, Line::new(server, stream, token, now));
         self.servers.begin(key, job, due);
         self.line_due(key, due.min(now + self.deployment.connect_within));
@@ -679,6 +686,7 @@
                 let now = self.clock.now();
                 let took = said.at.unwrap_or(now).saturating_sub(written.unwrap_or(now));
                 self.heard_by_probe(now, server, ending, said.row.or(said.report), said.stated);
+                self.saw_probe(now, server, ending, said.row.or(said.report).unwrap_or(said.stated));
                 self.router.probed(now, server, took, ending, said.row.or(said.report));
                 self.router_due = now;
             }
@@ -843,6 +851,7 @@
         self.router.listed(now, Some(&entries), list.whole);
         self.router_due = now;
         self.list_tells(now, &entries);
+        self.list_tells_company(now, &entries);
         if self.deployment.gone_binds {
             self.forget_gone(&left_out);
         }
@@ -869,15 +878,6 @@
         }
     }
 
-    // --- Peers ---
-
-    pub fn told(&mut self, from: SocketAddr, body: &[u8]) {
-        let peer = self.deployment.peers.iter().position(|peer| *peer == from);
-        if let (Some(peer), Ok(body)) = (peer, std::str::from_utf8(body)) {
-            self.router.told(self.clock.now(), peer, body);
-        }
-    }
-
     // --- Due times and the end ---
 
     /// Until when the loop may sleep.
@@ -886,7 +886,8 @@
             return 0;
         }
         let holds = self.holds.as_ref().map(|holds| holds.handover.next());
-        let due = [self.commands.next_due(), self.due.next(), holds];
+        let company = self.company.as_ref().map(Company::next);
+        let due = [self.commands.next_due(), self.due.next(), holds, company];
         due.into_iter().flatten().fold(self.router_due, Micros::min)
     }
 
@@ -908,6 +909,7 @@
             }
         }
         self.settle_holds();
+        self.settle_company();
         self.part_with_resting();
         // Guards against a listen queue that is left unserved once any connection has given its descriptor back.
         if self.queue_waits || self.queue_more {
@@ -977,6 +979,7 @@
             let most = self.deployment.longest_wait.min(STOPS_WITHIN) + STOPS_MORE;
             let stops = now + most;
             self.stops = Some(stops);
+            self.leave_company(now);
             // Guards against commands in hand whose clients wait for longer than this process lasts: they get an
             // answer too, and may ask another gateway.
             self.commands.hasten(stops);
@@ -997,7 +1000,8 @@
                 return;
             }
         };
-        (self.deployment.sockets, self.deployment.peers) = (new.sockets, new.peers);
+        self.deployment.sockets = new.sockets;
+        self.rekey_company();
         if new.discovery != self.deployment.discovery {
             info!(target: "start", "discovery is at {} from now on", new.discovery);
             self.deployment.discovery = new.discovery;
--- a/crates/gateway/src/gateway/control.rs
+++ b/crates/gateway/src/gateway/control.rs
@@ -161,8 +161,10 @@
         let now = self.clock.now();
         let word = |key: &str| asked[key].as_str().ok_or(format!("'{key}' is missing"));
         let what = word("do")?;
-        if what == "status" {
-            return self.control_status(now);
+        match what {
+            "status" => return self.control_status(now),
+            "fellows" => return self.company_status(now),
+            _ => {}
         }
         let name = word("shard")?;
         let shard = self.groups.find(name).ok_or(format!("there is no shard '{name}'"))?;
--- a/crates/gateway/src/gateway/steps.rs
+++ b/crates/gateway/src/gateway/steps.rs
@@ -5,6 +5,7 @@
 use tracing::debug;
 
 use super::Gateway;
+use crate::wire::server::Job;
 
 /// Whether the log wants them; read once, at the start.
 pub fn wanted() -> bool {
@@ -54,6 +55,14 @@
         debug!(target: "commands", step = "sent", command, at, server = name, primary, cold);
     }
 
+    /// A connection was opened, for a command or for a probe.
+    pub(super) fn step_opened(&self, server: usize, job: &Job) {
+        if self.steps {
+            let (at, server, probe) = (self.clock.now(), self.servers_named.name(server), *job == Job::Probe);
+            debug!(target: "commands", step = "opened", at, server, probe);
+        }
+    }
+
     pub(super) fn step_ended(&self, at: Micros, command: u64, dispatch: usize, ending: Ending) {
         if self.steps {
             debug!(target: "commands", step = "ended", command, at, dispatch, ending = ?ending);
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -35,9 +35,10 @@
     /// Bytes of memory that it may hold.
     pub memory: usize,
     pub peer_listen: Option<SocketAddr>,
-    pub peers: Vec<SocketAddr>,
     pub known: Option<List>,
     pub zones: Vec<String>,
+    /// The zone that this gateway stands in.
+    pub zone: String,
     pub command_groups: Vec<CommandGroup>,
     /// Whether a server that the list calls gone is gone.
     pub gone_binds: bool,
@@ -87,7 +88,10 @@
             list => Some(List::read(list).map_err(|message| format!("'known': {message}"))?),
         };
         let peers = json["peers"].as_array().map_or(&[][..], Vec::as_slice).iter();
-        let peers = peers.map(|peer| address("peers", peer.as_str().unwrap_or_default()));
+        // They are checked; who the others are stands in the program's own settings.
+        peers
+            .map(|peer| address("peers", peer.as_str().unwrap_or_default()))
+            .collect::<Result<Vec<_>, _>>()?;
         let settings = json.get("settings").ok_or("'settings' is missing")?;
         let list = |part: &Json| part.as_array().cloned().unwrap_or_default();
         let command_groups = list(&settings["categories"]);
@@ -158,12 +162,12 @@
             sockets,
             memory: memory * 1_024 * 1_024,
             peer_listen,
-            peers: peers.collect::<Result<_, _>>()?,
             known,
             zones: list(&settings["localities"])
                 .iter()
                 .filter_map(|zone| zone.as_str().map(String::from))
                 .collect(),
+            zone: settings["my_zone"].as_str().unwrap_or_default().into(),
             command_groups: command_groups.collect::<Result<_, String>>()?,
             gone_binds: settings["guarantees"]["gone_is_advice"] != true,
             gateways: settings["balancers"].as_u64().unwrap_or(1).max(1),
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -1,12 +1,10 @@
 //! One thread, one loop: from the start to the last answer after SIGTERM.
 
-use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use calloop::generic::Generic;
+use calloop::EventLoop;
 use calloop::signals::{Event, Signal, Signals};
-use calloop::{EventLoop, Interest, Mode, PostAction};
 use tansyjunction_settings::Program;
 use tracing::info;
 
@@ -14,9 +12,6 @@
 use crate::run::deployment::Deployment;
 use crate::run::listener::Listener;
 
-/// Longest datagram between gateways.
-const DATAGRAM_MOST: usize = 256;
-
 /// Serves as the configuration at `path`, or the one that the environment names, and the program's settings say.
 pub fn serve(path: Option<PathBuf>, program: &Program) -> Result<(), String> {
     let deployment = Deployment::read(path.as_deref())?;
@@ -30,26 +25,12 @@
         _ => gateway.stop(),
     };
     handle.insert_source(signals, told).map_err(|error| format!("signals: {error}"))?;
-    if let Some(address) = deployment.peer_listen {
-        let socket = UdpSocket::bind(address).map_err(|error| format!("'peer_listen' {address}: {error}"))?;
-        socket.set_nonblocking(true).map_err(|error| format!("'peer_listen' {address}: {error}"))?;
-        let source = Generic::new(socket, Interest::READ, Mode::Level);
-        let told = |_, socket: &mut calloop::generic::NoIoDrop<UdpSocket>, gateway: &mut Gateway| {
-            let mut body = [0; DATAGRAM_MOST + 1];
-            while let Ok((length, from)) = socket.recv_from(&mut body) {
-                if length <= DATAGRAM_MOST {
-                    gateway.told(from, &body[..length]);
-                }
-            }
-            Ok(PostAction::Continue)
-        };
-        handle.insert_source(source, told).map_err(|error| format!("'peer_listen': {error}"))?;
-    }
     let (name, address) = (deployment.name.clone(), deployment.listen);
     let listener =
         Listener::open(address, handle.clone()).map_err(|error| format!("'listen' {address}: {error}"))?;
     let mut gateway = Gateway::new(handle, deployment, listener, program);
-    let _control = match &program.handover.control {
+    gateway.open_company(&program.fellows)?;
+    let _control = match &program.control {
         Some(path) => {
             Some(gateway.open_control(path).map_err(|error| format!("{}: {error}", path.display()))?)
         }
--- /dev/null
+++ b/crates/rig/src/links.rs
@@ -0,0 +1,140 @@
+//! The ways between gateways: a socket for each pair stands for the one to the other, and what passes it is cut, lost,
+//! doubled and delayed in each direction by itself.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use polling::{Event, Events, Poller};
+
+/// How a way is in one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    pub cut: bool,
+    pub lost: f64,
+    pub doubled: f64,
+    pub delay: Duration,
+}
+
+struct Shared {
+    /// By sender, then receiver.
+    ways: Mutex<Vec<Vec<Way>>>,
+    over: AtomicBool,
+    passed: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// All ways between so many gateways.
+pub struct Links {
+    shared: Arc<Shared>,
+    addresses: Vec<Vec<SocketAddr>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Links {
+    /// `real`: where each gateway takes datagrams.
+    pub fn start(real: Vec<SocketAddr>, seed: u64) -> std::io::Result<Links> {
+        let count = real.len();
+        let mut sockets = Vec::new();
+        let mut addresses = vec![Vec::new(); count];
+        let poller = Poller::new()?;
+        for from in &mut addresses {
+            for _ in 0..count {
+                let socket = UdpSocket::bind("127.0.0.1:0")?;
+                socket.set_nonblocking(true)?;
+                from.push(socket.local_addr()?);
+                // Safety: the sockets live in the thread below, as long as the poller does.
+                unsafe { poller.add(&socket, Event::readable(sockets.len()))? };
+                sockets.push(socket);
+            }
+        }
+        let shared = Shared {
+            ways: Mutex::new(vec![vec![Way::default(); count]; count]),
+            over: AtomicBool::new(false),
+            passed: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
+        };
+        let shared = Arc::new(shared);
+        let thread = Some(std::thread::spawn({
+            let shared = shared.clone();
+            move || carry(&shared, &poller, &sockets, &real, Rng::with_seed(seed))
+        }));
+        Ok(Links { shared, addresses, thread })
+    }
+
+    /// Where `from` has to send what is for `to`.
+    pub fn address(&self, from: usize, to: usize) -> SocketAddr {
+        self.addresses[from][to]
+    }
+
+    /// From now on the ways are as `way` says for each sender and receiver.
+    pub fn set(&self, way: impl Fn(usize, usize) -> Way) {
+        let Ok(mut ways) = self.shared.ways.lock() else { return };
+        for (from, row) in ways.iter_mut().enumerate() {
+            for (to, one) in row.iter_mut().enumerate() {
+                *one = way(from, to);
+            }
+        }
+    }
+
+    /// Datagrams that passed, and that were dropped.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.shared.passed.load(Ordering::Relaxed), self.shared.dropped.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        self.shared.over.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn carry(shared: &Shared, poller: &Poller, sockets: &[UdpSocket], real: &[SocketAddr], mut rng: Rng) {
+    let count = real.len();
+    let mut events = Events::new();
+    let mut waiting: BinaryHeap<Reverse<(Instant, u64, usize, Vec<u8>)>> = BinaryHeap::new();
+    let (mut number, mut bytes) = (0, vec![0; 65_536]);
+    while !shared.over.load(Ordering::SeqCst) {
+        let now = Instant::now();
+        while let Some(Reverse((at, ..))) = waiting.peek()
+            && *at <= now
+            && let Some(Reverse((_, _, to, bytes))) = waiting.pop()
+        {
+            // A receiver that is not there hears nothing, as in life.
+            let _ = sockets[to].send_to(&bytes, real[to % count]);
+        }
+        let next =
+            waiting.peek().map_or(Duration::MAX, |Reverse((at, ..))| at.saturating_duration_since(now));
+        events.clear();
+        if poller.wait(&mut events, Some(next.min(Duration::from_millis(20)))).is_err() {
+            return;
+        }
+        for event in events.iter() {
+            let (from, to) = (event.key / count, event.key % count);
+            while let Ok((length, _)) = sockets[event.key].recv_from(&mut bytes) {
+                let way = shared.ways.lock().map_or(Way::default(), |ways| ways[from][to]);
+                if way.cut || rng.f64() < way.lost {
+                    shared.dropped.fetch_add(1, Ordering::Relaxed);
+                    continue;
+                }
+                shared.passed.fetch_add(1, Ordering::Relaxed);
+                let copies = if rng.f64() < way.doubled { 2 } else { 1 };
+                for _ in 0..copies {
+                    number += 1;
+                    let at = Instant::now() + way.delay.mul_f64(rng.f64());
+                    // The reply's way is that of the other direction: it is sent from that one's socket.
+                    waiting.push(Reverse((at, number, to * count + to, bytes[..length].to_vec())));
+                }
+            }
+            let _ = poller.modify(&sockets[event.key], Event::readable(event.key));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/plan.rs
@@ -0,0 +1,205 @@
+//! What is done to a fleet, and when: written down, drawn from a seed, or made smaller.
+
+use std::collections::BTreeSet;
+
+use fastrand::Rng;
+use serde::{Deserialize, Serialize};
+
+/// Zones of the rig, and the region of each.
+pub const ZONES: [(&str, &str); 3] = [("a", "near"), ("b", "near"), ("c", "far")];
+
+/// What befalls gateways, by their numbers, or the ways between them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "what")]
+pub enum What {
+    /// Nothing passes from these to those; the other direction stays.
+    Cut { from: Vec<usize>, to: Vec<usize> },
+    /// A part is lost, a part doubled, and each takes up to `delay_ms` longer, so that some overtake others.
+    Bad { from: Vec<usize>, to: Vec<usize>, lost: f64, doubled: f64, delay_ms: u64 },
+    /// Killed outright; started again at the end, without what it knew.
+    Kill { who: Vec<usize> },
+    /// Told to stop by SIGTERM; started again at the end.
+    Stop { who: Vec<usize> },
+    /// Stands still, by SIGSTOP and SIGCONT.
+    Pause { who: Vec<usize> },
+}
+
+/// One fault, from a moment on and for a while. Milliseconds since all gateways knew each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    pub at_ms: u64,
+    pub for_ms: u64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+impl Fault {
+    pub fn ends(&self) -> u64 {
+        self.at_ms + self.for_ms
+    }
+
+    /// The gateways that it may keep from hearing, being heard or answering.
+    pub fn touches(&self) -> BTreeSet<usize> {
+        match &self.what {
+            What::Cut { from, to } | What::Bad { from, to, .. } => from.iter().chain(to).copied().collect(),
+            What::Kill { who } | What::Stop { who } | What::Pause { who } => who.iter().copied().collect(),
+        }
+    }
+
+    /// The gateways to which it is their own trouble: of the two sides of a way, the smaller.
+    pub fn befalls(&self, gateways: usize) -> BTreeSet<usize> {
+        match &self.what {
+            What::Cut { from, to } | What::Bad { from, to, .. } => {
+                let side = if from.len() <= to.len() { from } else { to };
+                if side.len() * 2 > gateways { self.touches() } else { side.iter().copied().collect() }
+            }
+            _ => self.touches(),
+        }
+    }
+}
+
+/// A whole run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub gateways: usize,
+    /// Clients at each gateway; none: nothing is asked of the store.
+    pub clients: usize,
+    /// Milliseconds between two probes of membership, and of suspicion.
+    pub probe_ms: u64,
+    pub suspect_ms: u64,
+    pub faults: Vec<Fault>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { seed: 1, gateways: 6, clients: 1, probe_ms: 100, suspect_ms: 600, faults: Vec::new() }
+    }
+}
+
+impl Plan {
+    /// The zone of a gateway.
+    pub fn zone(gateway: usize) -> usize {
+        gateway % ZONES.len()
+    }
+
+    /// Those of one zone, and all others.
+    pub fn sides(&self, zone: usize) -> (Vec<usize>, Vec<usize>) {
+        (0..self.gateways).partition(|gateway| Plan::zone(*gateway) == zone)
+    }
+
+    /// When the last fault is over.
+    pub fn ends(&self) -> u64 {
+        self.faults.iter().map(Fault::ends).max().unwrap_or(0)
+    }
+
+    /// Reads a plan and checks it. Errors name what is wrong.
+    pub fn read(text: &str) -> Result<Plan, String> {
+        let plan: Plan = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        if !(2..=30).contains(&plan.gateways) {
+            return Err(format!("{} gateways are not from 2 to 30", plan.gateways));
+        }
+        for (place, fault) in plan.faults.iter().enumerate() {
+            if fault.touches().iter().any(|gateway| *gateway >= plan.gateways) {
+                return Err(format!("fault {place} names a gateway that there is not"));
+            }
+            if fault.ends() > 600_000 {
+                return Err(format!("fault {place} goes on for more than 10 minutes"));
+            }
+        }
+        Ok(plan)
+    }
+
+    /// Some faults by chance, one or two at a time. The same seed gives the same plan.
+    pub fn drawn(seed: u64, gateways: usize, faults: usize) -> Plan {
+        let mut rng = Rng::with_seed(seed);
+        let mut plan = Plan { seed, gateways, ..Plan::default() };
+        let mut at = 0;
+        for _ in 0..faults {
+            let for_ms = rng.u64(1_000..5_000);
+            let one = rng.usize(0..gateways);
+            let others: Vec<usize> = (0..gateways).filter(|other| *other != one).collect();
+            let (zone, rest) = plan.sides(rng.usize(0..ZONES.len()));
+            let what = match rng.usize(0..9) {
+                0 => vec![
+                    What::Cut { from: zone.clone(), to: rest.clone() },
+                    What::Cut { from: rest, to: zone },
+                ],
+                1 => vec![What::Cut { from: others, to: vec![one] }],
+                2 => vec![What::Cut { from: vec![one], to: others }],
+                3 => vec![What::Bad {
+                    from: (0..gateways).collect(),
+                    to: (0..gateways).collect(),
+                    lost: 0.3 * rng.f64(),
+                    doubled: 0.3 * rng.f64(),
+                    delay_ms: rng.u64(1..30),
+                }],
+                4 => vec![What::Kill { who: vec![one] }],
+                5 => vec![What::Kill { who: (0..gateways).filter(|n| n % 10 < 7 && *n != one).collect() }],
+                6 => vec![What::Stop { who: vec![one] }],
+                7 => vec![What::Kill { who: zone }],
+                _ => vec![What::Pause { who: vec![one] }],
+            };
+            plan.faults.extend(what.into_iter().map(|what| Fault { at_ms: at, for_ms, what }));
+            // One that starts before the last has ended meets it.
+            at += if rng.bool() { for_ms / 2 } else { for_ms + rng.u64(0..2_000) };
+        }
+        plan
+    }
+
+    /// The smallest plan that still fails, as far as leaving out and shortening single faults leads to one. `fails` is
+    /// asked at most `tries` times.
+    pub fn shrunk(&self, tries: usize, mut fails: impl FnMut(&Plan) -> bool) -> Plan {
+        let (mut plan, mut left) = (self.clone(), tries);
+        loop {
+            let mut smaller: Vec<Plan> = Vec::new();
+            for place in 0..plan.faults.len() {
+                let mut without = plan.clone();
+                without.faults.remove(place);
+                smaller.push(without);
+            }
+            for place in 0..plan.faults.len() {
+                let mut shorter = plan.clone();
+                shorter.faults[place].for_ms /= 2;
+                if shorter.faults[place].for_ms >= 500 {
+                    smaller.push(shorter);
+                }
+            }
+            let found = smaller.into_iter().find(|plan| {
+                let asked = left > 0;
+                left = left.saturating_sub(1);
+                asked && fails(plan)
+            });
+            match found {
+                Some(found) => plan = found,
+                None => return plan,
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn plans_are_the_same_by_seed_and_read_as_they_were_written() {
+        let plan = Plan::drawn(7, 9, 12);
+        assert_eq!(plan, Plan::drawn(7, 9, 12));
+        assert_ne!(plan, Plan::drawn(8, 9, 12));
+        let text = serde_json::to_string(&plan).expect("JSON");
+        assert_eq!(Plan::read(&text), Ok(plan));
+        let wrong = r#"{"seed":1,"gateways":3,"clients":0,"probe_ms":1,"suspect_ms":1,
+            "faults":[{"at_ms":0,"for_ms":1,"what":"kill","who":[3]}]}"#;
+        assert!(Plan::read(wrong).is_err_and(|message| message.contains("fault 0")));
+    }
+
+    #[test]
+    fn a_failing_plan_is_shrunk_to_what_makes_it_fail() {
+        let plan = Plan::drawn(3, 9, 14);
+        let guilty = plan.faults[5].what.clone();
+        let small = plan.shrunk(1_000, |plan| plan.faults.iter().any(|fault| fault.what == guilty));
+        assert_eq!(small.faults.len(), 1);
+        assert!(small.faults[0].what == guilty && small.faults[0].for_ms < 1_000);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/run.rs
@@ -0,0 +1,247 @@
+//! One run of a plan: the store, the gateways and the ways between them, then the verdict.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde_json::json;
+use tansyjunction_standin::{Asked, Discovery, Load, Reply, Shape, Store, adds_up};
+
+use crate::fleet::Fleet;
+use crate::judge::{self, Told};
+use crate::links::{Links, Way};
+use crate::plan::{Plan, What};
+
+/// All gateways must know each other within this, at the start and after the last fault.
+const AGREES_WITHIN: Duration = Duration::from_secs(40);
+const LOOKS_EVERY: Duration = Duration::from_millis(50);
+const SHARDS: usize = 2;
+const MEMBERS: usize = 3;
+
+/// What came of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    pub plan: Plan,
+    /// What broke a rule; empty: nothing did.
+    pub broken: Vec<String>,
+    pub history: Vec<Told>,
+    /// Milliseconds until all gateways knew each other: from the start, and from the end of the last fault.
+    pub joined_ms: u64,
+    pub healed_ms: Option<u64>,
+    /// Milliseconds from each kill to the last word of it.
+    pub detected_ms: BTreeMap<usize, i64>,
+    pub answered: usize,
+    pub throttled: usize,
+    pub failed: usize,
+    /// Commands whose connection ended, with their gateway.
+    pub cut_off: usize,
+    /// Datagrams that passed, and that were dropped by faults.
+    pub datagrams: (u64, u64),
+    /// Commands by second: asked, and answered.
+    pub service: Vec<(u64, usize, usize)>,
+}
+
+/// This machine's monotonic clock, in microseconds.
+fn mono() -> u64 {
+    let now = nix::time::clock_gettime(nix::time::ClockId::CLOCK_MONOTONIC);
+    now.map_or(0, |now| now.tv_sec() as u64 * 1_000_000 + now.tv_nsec() as u64 / 1_000)
+}
+
+/// Whether each gateway that runs says that all others live, and that no zone is dark. Err tells who does not.
+fn agree(fleet: &Fleet) -> Result<(), String> {
+    for number in 0..fleet.gateways.len() {
+        let status = fleet.ask(number, &json!({"do": "fellows"}))?;
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let alive = members.iter().filter(|member| member["standing"] == "alive").count();
+        if alive + 1 != fleet.gateways.len() {
+            return Err(format!("n{number} knows {alive} of {} others to live", fleet.gateways.len() - 1));
+        }
+        if status["dark"].as_array().is_some_and(|dark| !dark.is_empty()) {
+            return Err(format!("n{number} takes zones {} for dark", status["dark"]));
+        }
+    }
+    Ok(())
+}
+
+fn until_agreed(fleet: &Fleet) -> Result<Duration, String> {
+    let began = Instant::now();
+    loop {
+        match agree(fleet) {
+            Ok(()) => return Ok(began.elapsed()),
+            Err(message) if began.elapsed() > AGREES_WITHIN => return Err(message),
+            Err(_) => std::thread::sleep(LOOKS_EVERY),
+        }
+    }
+}
+
+/// How the way from one to another is, with these faults under way.
+fn way(plan: &Plan, now_ms: u64, from: usize, to: usize) -> Way {
+    let mut way = Way::default();
+    let under_way = |fault: &&crate::plan::Fault| fault.at_ms <= now_ms && now_ms < fault.ends();
+    for fault in plan.faults.iter().filter(under_way) {
+        match &fault.what {
+            What::Cut { from: a, to: b } => way.cut |= a.contains(&from) && b.contains(&to),
+            What::Bad { from: a, to: b, lost, doubled, delay_ms } if a.contains(&from) && b.contains(&to) => {
+                way.lost = way.lost.max(*lost);
+                way.doubled = way.doubled.max(*doubled);
+                way.delay = way.delay.max(Duration::from_millis(*delay_ms));
+            }
+            _ => {}
+        }
+    }
+    way
+}
+
+/// Whether a fault of a kind has hold of a gateway at this moment.
+fn held(plan: &Plan, now_ms: u64, who: usize, kind: impl Fn(&What) -> Option<&Vec<usize>>) -> bool {
+    let mut faults = plan.faults.iter().filter(|fault| fault.at_ms <= now_ms && now_ms < fault.ends());
+    faults.any(|fault| kind(&fault.what).is_some_and(|those| those.contains(&who)))
+}
+
+/// Plays a plan with the program at `program`. Errors are of the rig itself.
+pub fn run(program: &Path, plan: &Plan) -> Result<Outcome, String> {
+    let said = |error: std::io::Error| error.to_string();
+    let shape = Shape { shards: SHARDS, members: MEMBERS, seed: plan.seed, ..Shape::default() };
+    let store = Store::start(shape).map_err(said)?;
+    let discovery = Discovery::start(&store).map_err(said)?;
+    let mut fleet = Fleet::new(program, plan).map_err(said)?;
+    let real = fleet.gateways.iter().map(|gateway| gateway.peer).collect();
+    let links = Links::start(real, plan.seed).map_err(said)?;
+    fleet.configure(plan, &links, discovery.address, "").map_err(said)?;
+    for number in 0..plan.gateways {
+        fleet.start(number)?;
+    }
+    for number in 0..plan.gateways {
+        fleet.serves(number)?;
+    }
+    let mut broken = Vec::new();
+    let joined = until_agreed(&fleet).unwrap_or_else(|message| {
+        broken.push(format!("at the start {message}"));
+        AGREES_WITHIN
+    });
+    let addresses: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.address).collect();
+    let load = Load::start(&addresses, plan.clients, SHARDS, Duration::from_millis(40));
+    let zero = mono();
+    broken.extend(play(&mut fleet, &links, plan)?);
+    let healed = until_agreed(&fleet).map_err(|message| broken.push(format!("in the end {message}"))).ok();
+    let asked = load.stop();
+    for number in 0..plan.gateways {
+        broken.extend(fleet.runs(number).err());
+    }
+    let mut history: Vec<Told> =
+        (0..plan.gateways).flat_map(|number| judge::read(number, &fleet.log(number), zero)).collect();
+    history.sort_by_key(|told| (told.at_ms, told.by));
+    // A suspicion raised in a fault's last moment runs out this much later, in another region and in bad health.
+    let after_ms = (plan.suspect_ms * 3 * 9) as i64;
+    broken.extend(judge::false_deaths(plan, &history, after_ms));
+    broken.extend(judge::lost_not_left(plan, &history));
+    for number in 0..plan.gateways {
+        if let Some(line) = fleet.log(number).lines().find(|line| line.contains("panicked")) {
+            broken.push(format!("n{number}: {line}"));
+        }
+    }
+    let killed = plan.faults.iter().any(|fault| matches!(fault.what, What::Kill { .. }));
+    let ended = |one: &&Asked| one.reply == Reply::Ended;
+    let cut_off = asked.iter().filter(ended).count();
+    if cut_off > 0 && !killed && !plan.faults.iter().any(|f| matches!(f.what, What::Pause { .. })) {
+        broken.push(format!("{cut_off} commands got no answer though no gateway was killed"));
+    }
+    let rest: Vec<Asked> = asked.iter().filter(|one| !ended(one)).cloned().collect();
+    let sum = adds_up(&store, &rest).unwrap_or_else(|message| {
+        broken.push(message);
+        Default::default()
+    });
+    let mut service: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+    for one in &asked {
+        let row = service.entry(one.began.as_secs()).or_default();
+        row.0 += 1;
+        row.1 += usize::from(matches!(one.reply, Reply::Value(_)));
+    }
+    Ok(Outcome {
+        plan: plan.clone(),
+        detected_ms: judge::detection(plan, &history),
+        history,
+        joined_ms: joined.as_millis() as u64,
+        healed_ms: healed.map(|time| time.as_millis() as u64),
+        answered: sum.answered,
+        throttled: sum.throttled,
+        failed: sum.failed,
+        cut_off,
+        datagrams: links.counts(),
+        service: service.into_iter().map(|(second, (asked, answered))| (second, asked, answered)).collect(),
+        broken,
+    })
+}
+
+fn of_kill(what: &What) -> Option<&Vec<usize>> {
+    if let What::Kill { who } = what { Some(who) } else { None }
+}
+
+fn of_stop(what: &What) -> Option<&Vec<usize>> {
+    if let What::Stop { who } = what { Some(who) } else { None }
+}
+
+fn of_pause(what: &What) -> Option<&Vec<usize>> {
+    if let What::Pause { who } = what { Some(who) } else { None }
+}
+
+/// Does each fault at its time and undoes it at its end. Returns what went wrong with the processes.
+fn play(fleet: &mut Fleet, links: &Links, plan: &Plan) -> Result<Vec<String>, String> {
+    #[derive(Clone, Copy, PartialEq)]
+    enum State {
+        Up,
+        Killed,
+        Stopping,
+        Paused,
+    }
+    let mut states = vec![State::Up; plan.gateways];
+    let mut broken = Vec::new();
+    let mut moments: Vec<u64> = plan.faults.iter().flat_map(|fault| [fault.at_ms, fault.ends()]).collect();
+    moments.sort_unstable();
+    moments.dedup();
+    let began = Instant::now();
+    for moment in moments {
+        let due = began + Duration::from_millis(moment);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        links.set(|from, to| way(plan, moment, from, to));
+        let mut started = Vec::new();
+        for (number, state) in states.iter_mut().enumerate() {
+            let (dead, stopped) = (held(plan, moment, number, of_kill), held(plan, moment, number, of_stop));
+            let paused = held(plan, moment, number, of_pause);
+            let wanted = match () {
+                () if dead => State::Killed,
+                () if stopped => State::Stopping,
+                () if paused => State::Paused,
+                () => State::Up,
+            };
+            if wanted == *state {
+                continue;
+            }
+            if *state == State::Paused {
+                fleet.go_on(number);
+            }
+            match (*state, wanted) {
+                (State::Killed | State::Stopping, State::Up | State::Paused) => {
+                    if *state == State::Stopping {
+                        broken.extend(fleet.stopped(number).err());
+                    }
+                    fleet.start(number)?;
+                    started.push(number);
+                }
+                (_, State::Killed) => fleet.kill(number),
+                (_, State::Stopping) => fleet.stop(number),
+                _ => {}
+            }
+            if wanted == State::Paused {
+                fleet.pause(number);
+            }
+            *state = wanted;
+        }
+        for number in started.into_iter().filter(|number| states[*number] == State::Up) {
+            fleet.serves(number)?;
+        }
+    }
+    links.set(|_, _| Way::default());
+    Ok(broken)
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,5 +8,5 @@
 mod values;
 
 pub use ini::{Entry, Fault, Ini, Section};
-pub use program::{Expecting, Format, Handing, Level, Logging, PARTS, Program};
+pub use program::{Company, Expecting, Format, Handing, Level, Logging, PARTS, Program};
 pub use values::{duration, flag, list, nearest, number, one_of, unknown, whole};
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -3,15 +3,16 @@
 //! Without a file all of them have the values that the program had before there was one.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use tansyjunction::interface::Micros;
 
 use crate::ini::{Fault, Ini, Section};
-use crate::values::{duration, flag, one_of, unknown, whole};
+use crate::values::{duration, flag, list, one_of, unknown, whole};
 
 /// The parts of the program whose log lines have a level of their own.
-pub const PARTS: [&str; 6] = ["start", "clients", "servers", "discovery", "limits", "commands"];
+pub const PARTS: [&str; 7] = ["start", "clients", "servers", "discovery", "limits", "commands", "fellows"];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -174,11 +175,139 @@
     }
 }
 
+/// `[fellows]`: the other gateways, and what is told among them. Times in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Company {
+    /// Off: nothing is sent and nothing that comes is looked at.
+    pub enabled: bool,
+    /// Where datagrams are taken; None: at the configuration's `peer_listen`.
+    pub listen: Option<SocketAddr>,
+    /// The file with the keys.
+    pub key_file: Option<PathBuf>,
+    /// Where others may be found, by their names.
+    pub peers: Vec<(String, SocketAddr)>,
+    /// Regions in their order, each with its zones; zones that none names make up one more.
+    pub regions: Vec<(String, Vec<String>)>,
+    /// Between two probes; from suspicion to death, in the own region; how many times longer in another.
+    pub probe_every: Micros,
+    pub suspect_for: Micros,
+    pub far: u64,
+    /// Between two rounds of gossip, and of evidence.
+    pub gossip_every: Micros,
+    /// Longest datagram, in bytes.
+    pub datagram: usize,
+    /// Evidence is forgotten after so long; a datagram that was on its way for longer than `old_after` counts for nothing.
+    pub keep_for: Micros,
+    pub old_after: Micros,
+    /// Whether the router hears what others saw.
+    pub advise: bool,
+}
+
+impl Default for Company {
+    fn default() -> Self {
+        Company {
+            enabled: false,
+            listen: None,
+            key_file: None,
+            peers: Vec::new(),
+            regions: Vec::new(),
+            probe_every: 500_000,
+            suspect_for: 2_000_000,
+            far: 3,
+            gossip_every: 200_000,
+            datagram: 256,
+            keep_for: 30_000_000,
+            old_after: 2_000_000,
+            advise: true,
+        }
+    }
+}
+
+impl Company {
+    /// Least that a datagram must hold: two names, a seal and one change.
+    const DATAGRAM_LEAST: u64 = 200;
+    const DATAGRAM_MOST: u64 = 1_400;
+
+    /// The place of a zone's region.
+    pub fn region(&self, zone: &str) -> usize {
+        let found = self.regions.iter().position(|(_, zones)| zones.iter().any(|one| one == zone));
+        found.unwrap_or(self.regions.len())
+    }
+
+    fn read(&mut self, section: &Section) -> Result<(), Fault> {
+        section.only(&[
+            "enabled",
+            "listen",
+            "key_file",
+            "peer.",
+            "region.",
+            "probe_every",
+            "suspect_for",
+            "far",
+            "gossip_every",
+            "datagram",
+            "keep_for",
+            "old_after",
+            "advise",
+        ])?;
+        let address =
+            |text: &str| text.parse().map_err(|_| format!("'{text}' is not an address with a port"));
+        self.enabled = section.value("enabled", flag)?.unwrap_or(self.enabled);
+        self.listen = section.value("listen", address)?;
+        self.key_file = section.entry("key_file").map(|entry| PathBuf::from(&entry.value));
+        for entry in &section.entries {
+            if let Some(name) = entry.key.strip_prefix("peer.")
+                && let Some(address) = section.value(&entry.key, address)?
+            {
+                self.peers.push((name.into(), address));
+            } else if let Some(name) = entry.key.strip_prefix("region.")
+                && let Some(zones) = section.value(&entry.key, list)?
+            {
+                let twice = zones.iter().find(|zone| self.region(zone) < self.regions.len());
+                if let Some(zone) = twice {
+                    return Err(section.fault_at(&entry.key, format!("zone '{zone}' is in two regions")));
+                }
+                self.regions.push((name.into(), zones));
+            }
+        }
+        let some = |text: &str| match duration(text)? {
+            0 => Err("0 is too short".to_string()),
+            time => Ok(time),
+        };
+        for (key, value) in [
+            ("probe_every", &mut self.probe_every),
+            ("suspect_for", &mut self.suspect_for),
+            ("gossip_every", &mut self.gossip_every),
+            ("keep_for", &mut self.keep_for),
+            ("old_after", &mut self.old_after),
+        ] {
+            *value = section.value(key, some)?.unwrap_or(*value);
+        }
+        self.far = section.value("far", whole)?.unwrap_or(self.far).clamp(1, 100);
+        let within = |text: &str| match whole(text)? {
+            n if (Self::DATAGRAM_LEAST..=Self::DATAGRAM_MOST).contains(&n) => Ok(n as usize),
+            n => Err(format!("{n} is not from {} to {}", Self::DATAGRAM_LEAST, Self::DATAGRAM_MOST)),
+        };
+        self.datagram = section.value("datagram", within)?.unwrap_or(self.datagram);
+        self.advise = section.value("advise", flag)?.unwrap_or(self.advise);
+        if self.suspect_for < self.probe_every {
+            return Err(section.fault_at("suspect_for", "it is shorter than 'probe_every'"));
+        }
+        if self.enabled && self.key_file.is_none() {
+            return Err(section.fault_at("enabled", "'key_file' is missing"));
+        }
+        Ok(())
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Program {
     pub log: Logging,
     pub expect: Expecting,
     pub handover: Handing,
+    pub fellows: Company,
+    /// Operators' socket.
+    pub control: Option<PathBuf>,
 }
 
 impl Default for Program {
@@ -187,6 +316,8 @@
         Program {
             log: Logging { format: Format::Text, level: Level::Info, levels, lines_a_second: 20 },
             handover: Handing::default(),
+            fellows: Company::default(),
+            control: None,
             expect: Expecting {
                 replica_lag_allowed: None,
                 faults: 1,
@@ -211,12 +342,22 @@
                 "log" => program.log.read(section)?,
                 "expect" => program.expect.read(section)?,
                 "handover" => program.handover.read(section)?,
+                "fellows" => program.fellows.read(section)?,
+                "control" => {
+                    section.only(&["socket"])?;
+                    program.control = section.entry("socket").map(|entry| PathBuf::from(&entry.value));
+                    if program.control.as_ref().is_some_and(|path| !path.is_absolute()) {
+                        return Err(section.fault_at("socket", "it is not a path from the root"));
+                    }
+                }
                 other => {
-                    let known = ["log", "expect", "handover"].into_iter();
+                    let known = ["log", "expect", "handover", "fellows", "control"].into_iter();
                     return Err(section.fault(unknown("section", other, known)));
                 }
             }
         }
+        // The key that was there before there was a section for the socket.
+        program.control = program.control.take().or(program.handover.control.clone());
         Ok(program)
     }
 }
@@ -302,6 +443,13 @@
             ("[handover]\nheld_most = 0", "'held_most': 0 is too few"),
             ("[handover]\nheld_memory = 60", "'held_memory': more than 50 percent"),
             ("[handover]\nlook = 1s", "'look': no such key"),
+            ("[fellows]\nenabled = yes", "'enabled': 'key_file' is missing"),
+            ("[fellows]\npeer.n1 = here", "'peer.n1': 'here' is not an address"),
+            ("[fellows]\nregion.a = x\nregion.b = y, x", "'region.b': zone 'x' is in two regions"),
+            ("[fellows]\ndatagram = 20", "'datagram': 20 is not from 200 to 1400"),
+            ("[fellows]\nprobe_every = 0", "'probe_every': 0 is too short"),
+            ("[fellows]\nsuspect_for = 10ms", "'suspect_for': it is shorter than 'probe_every'"),
+            ("[control]\nsocket = x", "'socket': it is not a path from the root"),
         ] {
             let fault = read(text).expect_err(text).to_string();
             assert!(fault.contains(said), "{fault}");
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -71,8 +71,8 @@
             "dropped" => running.dropped(now, event)?,
             "pong" => running.pong(now, event)?,
             "resolved" => running.resolved(now, event, orders)?,
-            "datagram" => running.datagram(now, event)?,
-            // Timers are looked at after the batch; a stream's start and what is new here need no answer.
+            // Timers are looked at after the batch; a stream's start, messages of others, of which none is sent on this
+            // wire, and what is new here need no answer.
             _ => {}
         }
         Ok(())
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -97,11 +97,6 @@
         Ok(())
     }
 
-    pub fn datagram(&mut self, now: Micros, event: &Json) -> Result<(), String> {
-        self.router.told(now, number(event, "src")? as usize, text(event, "body")?);
-        Ok(())
-    }
-
     pub fn members(&mut self, now: Micros, event: &Json, page: Option<&Vec<Json>>) -> Result<(), String> {
         let how = text(event, "how")?;
         if how == "refused" {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -398,8 +398,19 @@
         }
     }
 
-    /// A message from another router: none is sent so far, and what arrives is not relied on.
-    pub fn told(&mut self, _now: Micros, _peer: usize, _body: &str) {}
+    /// What other routers saw of a server: weaker than all that was heard here. Guards against routers that start
+    /// together and each learn by failures what the rest knows. Where servers do not check themselves, a wrong word
+    /// of who leads could make a read stale, and counts for nothing.
+    pub fn told(&mut self, hearsay: &Hearsay) {
+        let (guarded, probes) = (self.guarded(), self.flag("limits.probes", false));
+        let Some(member) = self.members.get_mut(&hearsay.server) else { return };
+        let heard = member.answered_at > 0 || member.ping.is_some();
+        let leads = hearsay.leads.filter(|at| member.denied.is_none_or(|no| no + LIST_LAG < *at));
+        member.claimed = member.claimed.max(leads.filter(|_| guarded));
+        member.down |= hearsay.bad && !heard && probes;
+        let group = member.group;
+        self.note_primary(group);
+    }
 
     /// The client of this command has gone; its dispatches still end one by one.
     pub fn client_gone(&mut self, _now: Micros, _held: &Held) {}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,16 @@
     pub started: Option<Micros>,
 }
 
+/// What other routers say of a server, for [`Router::told`](crate::Router::told).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Hearsay {
+    pub server: usize,
+    /// When it was last heard to lead, where others agree that it does.
+    pub leads: Option<Micros>,
+    /// It is known to be of no use.
+    pub bad: bool,
+}
+
 /// Where to send a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
