--- a/crates/fellows/src/evidence.rs
+++ b/crates/fellows/src/evidence.rs
@@ -189,6 +189,14 @@
         self.items.iter().map(|((source, subject, _), kept)| (source.as_str(), subject.as_str(), kept))
     }
 
+    /// What a source said last of a subject, as it travels from now on.
+    pub fn item(&self, now: Micros, source: &str, subject: &str, kind: Kind) -> Option<Item> {
+        let kept = self.get(source, subject, kind)?;
+        let age = u32::try_from(now.saturating_sub(kept.at).div_ceil(1_000)).unwrap_or(u32::MAX);
+        let (zone, life, seq, fact) = (kept.zone, kept.life, kept.seq, kept.fact);
+        Some(Item { source: source.into(), zone, life, seq, subject: subject.into(), fact, age })
+    }
+
     /// What is to be passed on next, within `room` bytes: what was told least often, and of that the newest. Each item
     /// is told at most `times` by this gateway.
     pub fn next(&mut self, now: Micros, room: usize, times: u32) -> Vec<Item> {
@@ -200,24 +208,16 @@
         }
         due.sort();
         let (mut items, mut used) = (Vec::new(), 2);
-        for (_, _, key) in due {
-            let Some(kept) = self.items.get_mut(&key) else { continue };
-            let age = now.saturating_sub(kept.at).div_ceil(1_000);
-            let item = Item {
-                source: key.0,
-                zone: kept.zone,
-                life: kept.life,
-                seq: kept.seq,
-                subject: key.1,
-                fact: kept.fact,
-                age: u32::try_from(age).unwrap_or(u32::MAX),
-            };
+        for (_, _, (source, subject, kind)) in due {
+            let Some(item) = self.item(now, &source, &subject, kind) else { continue };
             let size = postcard::to_stdvec(&item).map_or(usize::MAX, |bytes| bytes.len());
             if used + size > room {
                 break;
             }
             used += size;
-            kept.told += 1;
+            if let Some(kept) = self.items.get_mut(&(source, subject, kind)) {
+                kept.told += 1;
+            }
             items.push(item);
         }
         items
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -16,6 +16,8 @@
 const TELLS: u32 = 6;
 /// An own observation that has not changed is told anew after this part of the time for which it is kept.
 const ANEW: Micros = 3;
+/// So many are told directly that this gateway leaves.
+const FAREWELLS: usize = 64;
 /// A position is told anew after so many rounds.
 const POSITIONS: Micros = 5;
 /// Fading looks at every item, so not at each turn.
@@ -28,6 +30,8 @@
     Evidence(Vec<Item>),
     /// To one that goes by a name of which a later life is known: that life.
     Later(Fellow),
+    /// To one that its sender suspects: the sender, and the life and incarnation that it suspects.
+    Accused(Fellow, u64, u16),
 }
 
 /// What an installation sets. Times are microseconds.
@@ -158,6 +162,7 @@
                     }
                 }
             }
+            Ok(Body::Accused(by, life, incarnation)) => self.members.accused_by(now, &by, life, incarnation),
             Ok(Body::Later(fellow)) => self.members.later(now, &fellow),
             Err(_) => *self.counts.refused.entry(Refused::Unsealed).or_default() += 1,
         }
@@ -173,7 +178,8 @@
         let Some(known) = known.map(|seen| seen.fellow.clone()) else { return };
         if known.life > from.life && now >= self.later_due {
             self.later_due = now + self.terms.members.period;
-            self.send(now, self.members.reach(&from), &Body::Later(known));
+            // To where it says that it is: by its name alone another one would be reached.
+            self.send(now, from.address, &Body::Later(known));
         }
     }
 
@@ -217,6 +223,10 @@
             self.tell_due = now + self.terms.tell_every;
             if !self.leaves && !self.members.yields() {
                 self.tell(now);
+                for (fellow, incarnation) in self.members.accused() {
+                    let (to, by) = (self.members.reach(&fellow), self.members.me().clone());
+                    self.send(now, to, &Body::Accused(by, fellow.life, incarnation));
+                }
             }
         }
         self.flush(now);
@@ -262,7 +272,8 @@
             self.members.living().map(|seen| self.members.reach(&seen.fellow)).collect();
         let own: Vec<Item> =
             self.evidence.next(now, self.terms.most / 2, u32::MAX).into_iter().take(1).collect();
-        for to in living.into_iter().take(3) {
+        // Guards against a death that is heard of before the farewell: this goes to all at once, that goes round.
+        for to in living.into_iter().take(FAREWELLS) {
             self.send(now, to, &Body::Evidence(own.clone()));
         }
         self.members.leave(now);
--- a/crates/fellows/src/members.rs
+++ b/crates/fellows/src/members.rs
@@ -50,11 +50,21 @@
     pub fanout: usize,
     /// Longest body of a datagram.
     pub most: usize,
+    /// Where others are reached from here, by name, if not where they say that they are.
+    pub routes: BTreeMap<String, SocketAddr>,
 }
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { period: 500_000, suspect_for: 2_000_000, far: 3, gossip: 200_000, fanout: 3, most: 190 }
+        Figures {
+            period: 500_000,
+            suspect_for: 2_000_000,
+            far: 3,
+            gossip: 200_000,
+            fanout: 3,
+            most: 190,
+            routes: BTreeMap::new(),
+        }
     }
 }
 
@@ -71,6 +81,8 @@
 pub struct Seen {
     pub fellow: Fellow,
     pub standing: Standing,
+    /// The incarnation in which it stands so; it raises that itself when it contradicts a suspicion.
+    pub incarnation: u16,
     /// Since when it stands so.
     pub since: Micros,
     /// Who told of suspecting it since it last was well, this gateway's own name included.
@@ -172,7 +184,7 @@
 
     /// Where another one is sent to: as the settings say, or else as it says itself.
     pub fn reach(&self, to: &Fellow) -> SocketAddr {
-        self.seeds.get(&to.name).copied().unwrap_or(to.address)
+        self.figures.routes.get(&to.name).copied().unwrap_or(to.address)
     }
 
     pub fn health(&self) -> u32 {
@@ -227,13 +239,16 @@
     /// Sees what a message tells beside what foca makes of it: answers to own probes, who suspects whom, rivals.
     fn look(&mut self, now: Micros, mut body: &[u8]) {
         let mut codec = PostcardCodec;
-        let Ok(Header { src, message, .. }) = Codec::<Fellow>::decode_header(&mut codec, &mut body) else {
+        let Ok(Header { src, src_incarnation, message, .. }) =
+            Codec::<Fellow>::decode_header(&mut codec, &mut body)
+        else {
             return;
         };
         if matches!(message, Message::Ack(_) | Message::ForwardedAck { .. }) {
             self.health.probe(true);
         }
         self.rival(now, &src, true);
+        self.said_of(now, &src, src_incarnation, foca::State::Alive, "");
         if body.remaining() < 2 {
             return;
         }
@@ -244,20 +259,34 @@
                     self.health.suspected();
                 }
                 self.rival(now, member.id(), member.state() != foca::State::Down);
-            } else if member.state() == foca::State::Suspect
-                && let Some(seen) = self.seen.get_mut(&member.id().name)
-            {
-                seen.suspected_by.insert(src.name.clone());
+            } else {
+                self.said_of(now, member.id(), member.incarnation(), member.state(), &src.name);
+            }
+        }
+    }
+
+    /// Keeps who suspects whom beside foca's own state. What is told of an earlier incarnation is over.
+    fn said_of(&mut self, now: Micros, of: &Fellow, incarnation: u16, state: foca::State, by: &str) {
+        let Some(seen) = self.seen.get_mut(&of.name) else { return };
+        if seen.fellow != *of || seen.standing == Standing::Down || incarnation < seen.incarnation {
+            return;
+        }
+        match state {
+            foca::State::Suspect => {
                 if seen.standing == Standing::Alive {
                     (seen.standing, seen.since) = (Standing::Suspect, now);
                 }
-            } else if member.state() == foca::State::Alive
-                && let Some(seen) = self.seen.get_mut(&member.id().name)
-                && seen.standing == Standing::Suspect
-            {
-                (seen.standing, seen.since) = (Standing::Alive, now);
+                seen.incarnation = incarnation;
+                seen.suspected_by.insert(by.into());
+            }
+            foca::State::Alive if incarnation > seen.incarnation => {
+                if seen.standing == Standing::Suspect {
+                    (seen.standing, seen.since) = (Standing::Alive, now);
+                }
+                seen.incarnation = incarnation;
                 seen.suspected_by.clear();
             }
+            _ => {}
         }
     }
 
@@ -332,7 +361,7 @@
             // dead: what would accuse them waits anew, and what they say comes first.
             if accuses && (paused || deaf) {
                 self.remind(now, timer, delay);
-            } else {
+            } else if !self.contradicted(&timer) {
                 self.with(now, |swim, runtime| swim.handle_timer(timer, runtime));
             }
         }
@@ -344,6 +373,14 @@
         }
     }
 
+    /// Whether one whose time is up has contradicted its suspicion. Guards against what the crate does then: it changes
+    /// nothing, and all the same tells that one that it is dead, which then begins another life.
+    fn contradicted(&self, timer: &Timer<Fellow>) -> bool {
+        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
+        let mut known = self.swim.iter_membership_state();
+        !known.any(|member| member.id() == member_id && member.incarnation() == *incarnation)
+    }
+
     /// Asks some to be let in: those that were met, and those that the settings name, in turn.
     fn join(&mut self, now: Micros) {
         let met = self.seen.values().map(|seen| (seen.fellow.name.clone(), seen.fellow.address));
@@ -358,6 +395,33 @@
         }
     }
 
+    /// Those that this gateway suspects and will take for dead, each with the incarnation that it suspects.
+    pub fn accused(&self) -> Vec<(Fellow, u16)> {
+        let accused = self.timers.values().filter_map(|(timer, _)| match timer {
+            Timer::ChangeSuspectToDown { member_id, incarnation, .. } => {
+                Some((member_id.clone(), *incarnation))
+            }
+            _ => None,
+        });
+        let suspected = |(fellow, incarnation): &(Fellow, u16)| {
+            let seen = self.seen.get(&fellow.name);
+            seen.is_some_and(|seen| seen.fellow == *fellow && seen.incarnation <= *incarnation)
+        };
+        accused.filter(suspected).collect()
+    }
+
+    /// Another one says to this gateway's face that it suspects it: it speaks up at once, to that one first. Guards
+    /// against a death by hearsay where the word of the suspicion, or that against it, gets lost on its way round.
+    pub fn accused_by(&mut self, now: Micros, accuser: &Fellow, life: u64, incarnation: u16) {
+        if self.yields || life != self.me().life {
+            return;
+        }
+        let suspected = foca::Member::new(self.me().clone(), incarnation, foca::State::Suspect);
+        self.with(now, |swim, runtime| swim.apply_many(std::iter::once(suspected), true, runtime));
+        let accuser = accuser.clone();
+        self.with(now, |swim, runtime| swim.announce(accuser, runtime));
+    }
+
     /// Says farewell.
     pub fn leave(&mut self, now: Micros) {
         if !self.yields {
@@ -378,15 +442,10 @@
             self.out.push((self.reach(&to), body.to_vec()));
         }
         while let Some((delay, timer)) = runtime.to_schedule() {
-            if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
+            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
                 self.health.probe(false);
                 let me = self.me().name.clone();
-                if let Some(seen) = self.seen.get_mut(&member_id.name) {
-                    seen.suspected_by.insert(me);
-                    if seen.standing == Standing::Alive {
-                        (seen.standing, seen.since) = (Standing::Suspect, now);
-                    }
-                }
+                self.said_of(now, member_id, *incarnation, foca::State::Suspect, &me);
             }
             self.remind(now, timer, delay.as_micros() as Micros);
         }
@@ -412,7 +471,13 @@
 
     fn noted(&mut self, now: Micros, news: OwnedNotification<Fellow>) {
         let mut stands = |fellow: &Fellow, standing| {
-            let seen = Seen { fellow: fellow.clone(), standing, since: now, suspected_by: BTreeSet::new() };
+            let seen = Seen {
+                fellow: fellow.clone(),
+                standing,
+                incarnation: 0,
+                since: now,
+                suspected_by: BTreeSet::new(),
+            };
             self.seen.insert(fellow.name.clone(), seen);
         };
         match news {
@@ -426,7 +491,12 @@
             }
             OwnedNotification::Rename(_, fellow) => {
                 if let Some(seen) = self.seen.get_mut(&fellow.name) {
-                    seen.fellow = fellow;
+                    // Whether that life is down is told apart; what was suspected of the one before is over.
+                    (seen.fellow, seen.incarnation) = (fellow, 0);
+                    seen.suspected_by.clear();
+                    if seen.standing == Standing::Suspect {
+                        (seen.standing, seen.since) = (Standing::Alive, now);
+                    }
                 }
             }
             OwnedNotification::Rejoin(fellow) => self.news.push(News::Renewed(fellow.life)),
--- a/crates/gateway/src/gateway/company.rs
+++ b/crates/gateway/src/gateway/company.rs
@@ -91,6 +91,7 @@
             suspect_for: told.suspect_for,
             far: told.far as u32,
             gossip: told.gossip_every,
+            routes: told.routes.iter().cloned().collect(),
             ..Figures::default()
         };
         let terms = Terms {
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -91,7 +91,8 @@
                 plan.suspect_ms,
             );
             for (other, peer) in self.gateways.iter().enumerate().filter(|(other, _)| *other != number) {
-                ini += &format!("peer.{} = {}\n", peer.name, links.address(number, other));
+                let (name, address) = (&peer.name, links.address(number, other));
+                ini += &format!("peer.{name} = {address}\nroute.{name} = {address}\n");
             }
             std::fs::write(gateway.folder.join("settings.ini"), ini + more)?;
         }
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -186,6 +186,8 @@
     pub key_file: Option<PathBuf>,
     /// Where others may be found, by their names.
     pub peers: Vec<(String, SocketAddr)>,
+    /// Where others are reached from here, where that is not the address that they give themselves.
+    pub routes: Vec<(String, SocketAddr)>,
     /// Regions in their order, each with its zones; zones that none names make up one more.
     pub regions: Vec<(String, Vec<String>)>,
     /// Between two probes; from suspicion to death, in the own region; how many times longer in another.
@@ -210,6 +212,7 @@
             listen: None,
             key_file: None,
             peers: Vec::new(),
+            routes: Vec::new(),
             regions: Vec::new(),
             probe_every: 500_000,
             suspect_for: 2_000_000,
@@ -240,6 +243,7 @@
             "listen",
             "key_file",
             "peer.",
+            "route.",
             "region.",
             "probe_every",
             "suspect_for",
@@ -260,6 +264,10 @@
                 && let Some(address) = section.value(&entry.key, address)?
             {
                 self.peers.push((name.into(), address));
+            } else if let Some(name) = entry.key.strip_prefix("route.")
+                && let Some(address) = section.value(&entry.key, address)?
+            {
+                self.routes.push((name.into(), address));
             } else if let Some(name) = entry.key.strip_prefix("region.")
                 && let Some(zones) = section.value(&entry.key, list)?
             {
