Model-check merging of evidence; a list of peers serves where the settings name none

Change: three gateways that see, tell, tell again and begin anew in any order (stateright): whoever heard the same knows the same, no earlier life speaks over a later one. Without peer keys the configuration's peers serve, each by its number.

--- a/crates/fellows/src/evidence.rs
+++ b/crates/fellows/src/evidence.rs
@@ -59,7 +59,7 @@
 }
 
 /// One thing that one gateway saw, as it travels.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Item {
     pub source: String,
     pub zone: u8,
@@ -72,7 +72,7 @@
 }
 
 /// One thing that one gateway saw, as it is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Kept {
     pub zone: u8,
     pub life: u64,
@@ -88,7 +88,7 @@
 type Key = (String, String, Kind);
 
 /// All that is known of what others saw, and what this gateway saw itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Evidence {
     items: BTreeMap<Key, Kept>,
     /// By source: how many items there are.
--- a/crates/fellows/tests/fellows/main.rs
+++ b/crates/fellows/tests/fellows/main.rs
@@ -2,6 +2,7 @@
 
 mod evidence;
 mod membership;
+mod model;
 mod net;
 mod seal;
 mod sizes;
--- a/crates/gateway/src/gateway/company.rs
+++ b/crates/gateway/src/gateway/company.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -78,8 +78,17 @@
         self.handle.insert_source(source, ready).map_err(|error| format!("'fellows.listen': {error}"))?;
         let now = self.clock.now();
         let zone = self.deployment.zones.iter().position(|zone| *zone == self.deployment.zone);
+        // Where the settings name nobody, the configuration's list of peers serves, in which each goes by its number.
+        let (mut name, mut peers) = (self.deployment.name.clone(), told.peers.clone());
+        let mut routes: BTreeMap<String, SocketAddr> = told.routes.iter().cloned().collect();
+        if peers.is_empty() && !self.deployment.peers.is_empty() {
+            name = self.deployment.number.to_string();
+            let numbered = self.deployment.peers.iter().enumerate();
+            peers = numbered.map(|(number, address)| (number.to_string(), *address)).collect();
+            routes.extend(peers.iter().cloned());
+        }
         let me = Fellow {
-            name: self.deployment.name.clone(),
+            name,
             address,
             zone: zone.unwrap_or(self.deployment.zones.len()) as u8,
             region: told.region(&self.deployment.zone) as u8,
@@ -91,7 +100,7 @@
             suspect_for: told.suspect_for,
             far: told.far as u32,
             gossip: told.gossip_every,
-            routes: told.routes.iter().cloned().collect(),
+            routes,
             ..Figures::default()
         };
         let terms = Terms {
@@ -103,7 +112,7 @@
             ..Terms::default()
         };
         let seed = self.deployment.seed ^ now;
-        let fellows = Fellows::new(now, me, told.peers.clone(), keys, terms, seed);
+        let fellows = Fellows::new(now, me, peers, keys, terms, seed);
         info!(target: "fellows", %address, zone = self.deployment.zone, "among the gateways as {}", self.deployment.name);
         self.company = Some(Company {
             fellows,
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -35,6 +35,9 @@
     /// Bytes of memory that it may hold.
     pub memory: usize,
     pub peer_listen: Option<SocketAddr>,
+    /// Addresses of all gateways by their numbers, and this one's number.
+    pub peers: Vec<SocketAddr>,
+    pub number: usize,
     pub known: Option<List>,
     pub zones: Vec<String>,
     /// The zone that this gateway stands in.
@@ -89,9 +92,7 @@
         };
         let peers = json["peers"].as_array().map_or(&[][..], Vec::as_slice).iter();
         // They are checked; who the others are stands in the program's own settings.
-        peers
-            .map(|peer| address("peers", peer.as_str().unwrap_or_default()))
-            .collect::<Result<Vec<_>, _>>()?;
+        let peers = peers.map(|peer| address("peers", peer.as_str().unwrap_or_default()));
         let settings = json.get("settings").ok_or("'settings' is missing")?;
         let list = |part: &Json| part.as_array().cloned().unwrap_or_default();
         let command_groups = list(&settings["categories"]);
@@ -162,6 +163,8 @@
             sockets,
             memory: memory * 1_024 * 1_024,
             peer_listen,
+            peers: peers.collect::<Result<_, _>>()?,
+            number: settings["me"].as_u64().unwrap_or(0) as usize,
             known,
             zones: list(&settings["localities"])
                 .iter()
