Try expectations on both sides of their own figures; state effect, window and bound

Cause: the worlds put replicas 2 s beyond the configured bound (state.rs, State::Behind), never near the figure that the expectation names; nothing could state what a command group's effect is. Changed: calm and behind have worlds at each lag that an expectation names and 1 ms beyond; keys effect, repeat_within and bound are held against the configuration; an 'only' that no world could fail is refused.

--- a/crates/expect/src/contradiction.rs
+++ b/crates/expect/src/contradiction.rs
@@ -6,9 +6,9 @@
 
 use tansyjunction_settings::Fault;
 
-use crate::expectation::{Expectation, Limit, Suite};
+use crate::expectation::{EFFECTS, Expectation, Limit, Stated, Suite};
 use crate::explore::{from_zone, named_by};
-use crate::judge::lag_beyond_bound;
+use crate::judge::{lag_beyond_bound, time};
 use crate::scope::{Scope, Term};
 use crate::state::{self, Described};
 use crate::subject::{Effect, Need, Subject};
@@ -26,7 +26,8 @@
 pub fn all(subject: &Arc<Subject>, suite: &Suite) -> Vec<Contradiction> {
     let mut found = Vec::new();
     for (place, expectation) in suite.expectations.iter().enumerate() {
-        let faults = [lag(subject, expectation), vacuous(subject, &suite.worlds, expectation)];
+        let stated = stated(subject, expectation);
+        let faults = [stated, lag(subject, expectation), vacuous(subject, &suite.worlds, expectation)];
         let faults = faults.into_iter().flatten().chain(itself(subject, &suite.worlds, expectation));
         found.extend(faults.map(|fault| Contradiction { expectation: Some(place), fault }));
     }
@@ -44,6 +45,45 @@
     found
 }
 
+/// What the configuration says of a command group, against what it is expected to say. Guards against a group that becomes
+/// free to repeat, or whose window or bound is raised, and all that is checked by runs still holds.
+fn stated(subject: &Subject, expectation: &Expectation) -> Option<Fault> {
+    let (must, section) = (&expectation.must, &expectation.section);
+    expectation.commands.iter().find_map(|k| {
+        let group = &subject.command_groups[*k];
+        let name = &group.name;
+        let (effect, window) = match group.effect {
+            Effect::Replayable => (Stated::Replayable, None),
+            Effect::Keyed(_, window) => (Stated::Keyed, Some(window)),
+            Effect::Mutating => (Stated::Mutating, None),
+        };
+        let word = |effect| EFFECTS.iter().find(|(_, known)| *known == effect).map_or("", |(word, _)| *word);
+        if must.effect.is_some_and(|expected| expected != effect) {
+            return Some(section.fault_at("effect", format!("{name} is {}", word(effect))));
+        }
+        if let Some(most) = must.repeat_within {
+            let Some(window) = window else {
+                return Some(
+                    section.fault_at("repeat_within", format!("{name} is {}, not keyed", word(effect))),
+                );
+            };
+            if window > most {
+                let message = format!("{name} may be repeated for {}", time(window));
+                return Some(section.fault_at("repeat_within", message));
+            }
+        }
+        match (must.bound, group.need) {
+            (Some(most), Need::Bounded(bound)) if bound > most => {
+                Some(section.fault_at("bound", format!("{name} permits data {} old", time(bound))))
+            }
+            (Some(_), Need::Any) => {
+                Some(section.fault_at("bound", format!("{name} permits data of any age")))
+            }
+            _ => None,
+        }
+    })
+}
+
 /// Scopes that say where commands may go.
 fn allowing(expectation: &Expectation) -> impl Iterator<Item = (&'static str, &Scope)> {
     let must = &expectation.must;
@@ -69,6 +109,21 @@
     })
 }
 
+fn all_fit(subject: &Arc<Subject>, worlds: &[Described], expectation: &Expectation, scope: &Scope) -> bool {
+    let lags = expectation.must.lags();
+    expectation.zones.iter().all(|zone| {
+        let subject = from_zone(subject, *zone);
+        expectation.shards.iter().all(|shard| {
+            expectation.states.iter().all(|state| {
+                let starts = state::starts_with(&subject, worlds, state, *shard, &lags);
+                starts.iter().all(|start| {
+                    subject.members(*shard).all(|s| scope.has(&subject, s, &start.truths[s], BEGIN))
+                })
+            })
+        })
+    })
+}
+
 /// An expectation that no run can break or meet.
 fn vacuous(subject: &Arc<Subject>, worlds: &[Described], expectation: &Expectation) -> Option<Fault> {
     let section = &expectation.section;
@@ -99,6 +154,14 @@
             return Some(section.fault_at(key, message));
         }
     }
+    // An `only` that each server of every world meets says nothing of where commands go.
+    if let Some(scope) = &must.only
+        && !may_arise(scope, expectation)
+        && all_fit(subject, worlds, expectation, scope)
+    {
+        let message = format!("no world could fail it: every server is '{}' in all of them", scope.text);
+        return Some(section.fault_at("only", message));
+    }
     let groups = || expectation.commands.iter().map(|k| &subject.command_groups[*k]);
     if must.own_zone_first && groups().all(|group| matches!(group.need, Need::Write | Need::Fresh)) {
         return Some(
@@ -164,7 +227,8 @@
         for shard in &shards {
             for zone in &zones {
                 let subject = from_zone(subject, *zone);
-                let starts = state::starts(&subject, worlds, state, *shard);
+                let lags = [one.must.lags(), other.must.lags()].concat();
+                let starts = state::starts_with(&subject, worlds, state, *shard, &lags);
                 worlds_of_both.extend(starts.into_iter().map(|start| (subject.clone(), *shard, start)));
             }
         }
--- a/crates/expect/src/expectation.rs
+++ b/crates/expect/src/expectation.rs
@@ -1,9 +1,11 @@
 //! Expectations as they stand in a file: which commands, in which states of the world, and what must hold.
 
+use std::collections::BTreeSet;
+
 use tansyjunction::interface::Micros;
 use tansyjunction_settings::{Expecting, Fault, Ini, Section, duration, flag, list, one_of, unknown, whole};
 
-use crate::scope::{self, Scope};
+use crate::scope::{self, Scope, Term};
 use crate::state::{self, Described, STATES, State};
 use crate::subject::Subject;
 use crate::truth::{FAULTS, Happens};
@@ -39,6 +41,32 @@
     pub failed: Option<Limit>,
     /// The longest that it is kept without a dispatch, in microseconds.
     pub held: Option<Micros>,
+    /// What the configuration must say of the command groups: how repeats are told, for how long at most, and the age of
+    /// the data at most. Times in microseconds.
+    pub effect: Option<Stated>,
+    pub repeat_within: Option<Micros>,
+    pub bound: Option<Micros>,
+}
+
+/// An effect as an expectation names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stated {
+    Replayable,
+    Keyed,
+    Mutating,
+}
+
+pub const EFFECTS: [(&str, Stated); 3] =
+    [("replayable", Stated::Replayable), ("keyed", Stated::Keyed), ("mutating", Stated::Mutating)];
+
+impl Must {
+    /// Lags that its scopes name, in microseconds, each once and the least first.
+    pub fn lags(&self) -> Vec<Micros> {
+        let scopes = [&self.only, &self.never, &self.may, &self.some].into_iter().flatten();
+        let terms = scopes.flat_map(|scope| scope.phrases.iter().flatten());
+        let lags: BTreeSet<Micros> = terms.filter_map(Term::lag).collect();
+        lags.into_iter().collect()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -87,7 +115,7 @@
 ];
 
 /// Keys that say what must hold.
-const MUST: [&str; 11] = [
+const MUST: [&str; 14] = [
     "only",
     "never",
     "may",
@@ -99,6 +127,9 @@
     "throttled",
     "failed",
     "held",
+    "effect",
+    "repeat_within",
+    "bound",
 ];
 
 /// Adds the servers that files describe, `[server NAME]`, to those that the configuration lists.
@@ -226,6 +257,9 @@
         throttled: limit("throttled")?,
         failed: limit("failed")?,
         held: section.value("held", duration)?,
+        effect: section.value("effect", |text| one_of("effect", text, &EFFECTS))?,
+        repeat_within: section.value("repeat_within", duration)?,
+        bound: section.value("bound", duration)?,
     };
     let faults = faults.unwrap_or_default();
     let fault_count = section.value("fault_count", up_to(FAULTS_MOST))?;
--- a/crates/expect/src/explore.rs
+++ b/crates/expect/src/explore.rs
@@ -236,11 +236,12 @@
     expectation: &Expectation,
     each: &mut Each,
 ) -> Result<(), String> {
+    let lags = expectation.must.lags();
     for zone in &expectation.zones {
         let subject = from_zone(subject, *zone);
         for shard in &expectation.shards {
             for state in &expectation.states {
-                let starts = state::starts(&subject, worlds, state, *shard);
+                let starts = state::starts_with(&subject, worlds, state, *shard, &lags);
                 for (place, start) in starts.iter().enumerate() {
                     for command in &expectation.commands {
                         for seed in 0..expectation.seeds {
@@ -454,7 +455,8 @@
     make: Make<S>,
 ) -> Result<(Vec<Step>, Option<Broken>), String> {
     let subject = from_zone(subject, setting.zone);
-    let starts = state::starts(&subject, worlds, &setting.state, setting.shard);
+    let lags = expectation.must.lags();
+    let starts = state::starts_with(&subject, worlds, &setting.state, setting.shard, &lags);
     let start = starts.get(setting.place).ok_or("the state has no such world any more")?;
     let coming = coming(&subject, expectation, setting.command, setting.shard);
     let mut world = World::begin(subject.clone(), make(&subject.named, setting.seed)?, start, coming);
@@ -482,11 +484,12 @@
     scope: &crate::scope::Scope,
 ) -> FxHashSet<usize> {
     let mut named = FxHashSet::default();
+    let lags = expectation.must.lags();
     for zone in &expectation.zones {
         let subject = from_zone(subject, *zone);
         for shard in &expectation.shards {
             for state in &expectation.states {
-                for start in state::starts(&subject, worlds, state, *shard) {
+                for start in state::starts_with(&subject, worlds, state, *shard, &lags) {
                     let fits = |server: &usize| {
                         scope.has(&subject, *server, &start.truths[*server], crate::world::BEGIN)
                     };
--- a/crates/expect/src/scope.rs
+++ b/crates/expect/src/scope.rs
@@ -64,6 +64,14 @@
 }
 
 impl Term {
+    /// The lag that it names, in microseconds.
+    pub fn lag(&self) -> Option<Micros> {
+        match self {
+            Term::Within(lag) | Term::Behind(lag) => Some(*lag),
+            _ => None,
+        }
+    }
+
     fn fits(&self, subject: &Subject, server: usize, truth: &Truth, now: Micros) -> bool {
         let facts = &subject.servers[server];
         match self {
--- a/crates/expect/src/state.rs
+++ b/crates/expect/src/state.rs
@@ -99,7 +99,7 @@
 pub fn name<'a>(state: &State, described: &'a [Described]) -> &'a str {
     match state {
         State::Named(place) => described[*place].section.kind().1,
-        state => STATES.iter().find(|(_, known)| known == state).map_or("", |(name, _)| name),
+        state => name_of(state),
     }
 }
 
@@ -114,6 +114,44 @@
     place.map(State::Named).ok_or_else(|| format!("'{text}': {}", unknown("state or world", text, names)))
 }
 
+/// Beside a figure that an expectation names, a replica stands so much further behind.
+const BEYOND: Micros = 1_000;
+
+/// The worlds that a state means for a shard where an expectation names these lags: those of the state, and in a state
+/// whose subject is freshness, or that has no trouble, a replica on each side of each figure. Guards against an
+/// expectation that holds whatever the configuration permits, since no world comes near its own figure.
+pub fn starts_with(
+    subject: &Subject,
+    described: &[Described],
+    state: &State,
+    shard: usize,
+    lags: &[Micros],
+) -> Vec<Start> {
+    let mut found = starts(subject, described, state, shard);
+    if !matches!(state, State::Calm | State::Behind) {
+        return found;
+    }
+    let base = calm(subject);
+    let replicas: Vec<usize> = subject
+        .members(shard)
+        .filter(|s| !base[*s].primary && base[*s].standing == Standing::Serving)
+        .collect();
+    for lag in lags.iter().flat_map(|lag| [*lag, *lag + BEYOND]) {
+        for replica in &replicas {
+            let mut truths = base.clone();
+            truths[*replica].lag = lag;
+            let (ms, name) = (lag / 1_000, &subject.servers[*replica].name);
+            let name = format!("{}, {name} {ms} ms behind", name_of(state));
+            found.push(Start { name, truths, warm: true, changes: Vec::new() });
+        }
+    }
+    found
+}
+
+fn name_of(state: &State) -> &'static str {
+    STATES.iter().find(|(_, known)| known == state).map_or("", |(name, _)| name)
+}
+
 /// The worlds that a state means for a shard: one for each server that may be the one in trouble.
 pub fn starts(subject: &Subject, described: &[Described], state: &State, shard: usize) -> Vec<Start> {
     if let State::Named(place) = state {
