--- a/crates/cli/src/line.rs
+++ b/crates/cli/src/line.rs
@@ -9,7 +9,7 @@
 use tansyjunction_gateway::{Deployment, serve};
 use tansyjunction_settings::Program;
 
-use crate::{account, demo, expect, fellows, handover, log, rig};
+use crate::{accord, account, demo, expect, fellows, handover, log, rig};
 
 #[derive(Parser)]
 #[command(name = "tansyjunction", version, about = "Steers reads and writes in replicated stores")]
@@ -28,6 +28,8 @@
     Expect(Box<expect::Line>),
     /// Show it at work: a store, two gateways and clients on loopback, with changes of primary.
     Demo(demo::Line),
+    /// Hold two versions of what gateways act on against each other.
+    Accord(accord::Line),
     /// Say from gateways' logs what became of the commands, and why some were not answered in time.
     Account(account::Line),
     /// Show how gateways see each other, and what they saw of the servers.
@@ -63,6 +65,7 @@
 pub fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Expect(line) => return expect::main(*line),
+        Command::Accord(line) => return accord::main(&line),
         Command::Account(line) => account::run(&line),
         Command::Fellows(line) => fellows::run(&line),
         Command::Rig(line) => rig::run(&line),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! tansyjunction: steers reads and writes in replicated stores.
 
+mod accord;
 mod account;
 mod demo;
 mod expect;
