Let cold members have nine tenths of what the rule allows, less where a queue is known

Cold members are starved, not full. Cause: WARMING_SHARE in balance.rs kept 0.4 of the rule back for what other factors already count, and gave it back to members with answers alone.

Changed: nine tenths for a cold member, two thirds of that where a queue is known, from its answers here or from others (told).

Gateways that hear of many new ones ask for more: 300 that start at once.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -84,6 +84,14 @@
     assert_eq!(deaths(&outcome), []);
 }
 
+#[test]
+fn of_two_processes_with_one_name_one_keeps_it_and_both_serve() {
+    let plan = Plan { twins: true, ..Plan::default() };
+    let outcome = run(Path::new(env!("CARGO_BIN_EXE_tansyjunction")), &plan).expect("the rig works");
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    assert_eq!(outcome.history.iter().filter(|told| told.what == "yields").count(), 1);
+}
+
 /// The long form: plans drawn from seeds.
 #[test]
 #[ignore = "some minutes"]
--- a/crates/fellows/src/evidence.rs
+++ b/crates/fellows/src/evidence.rs
@@ -23,10 +23,8 @@
     At(u64),
     /// The list calls it draining or gone.
     Drains,
-    /// So many hundredths of what a warm one of its size does, as its age tells.
-    Warmth(u8),
-    /// Hundredths of its room that this gateway's commands fill.
-    Room(u8),
+    /// It has just started, answers, and lets commands wait for so many milliseconds.
+    Waits(u16),
     /// Of a fellow: it is suspected; of itself: it leaves of its own will.
     Suspects,
     Leaves,
@@ -39,8 +37,7 @@
     Role,
     Position,
     Drain,
-    Warmth,
-    Room,
+    Waiting,
     Fellow,
 }
 
@@ -51,8 +48,7 @@
             Fact::Leads | Fact::Follows => Kind::Role,
             Fact::At(_) => Kind::Position,
             Fact::Drains => Kind::Drain,
-            Fact::Warmth(_) => Kind::Warmth,
-            Fact::Room(_) => Kind::Room,
+            Fact::Waits(_) => Kind::Waiting,
             Fact::Suspects | Fact::Leaves => Kind::Fellow,
         }
     }
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -185,12 +185,13 @@
         }
     }
 
-    /// This gateway saw something of a server. The same again is told anew only now and then, and so is a position, which
-    /// always moves.
+    /// This gateway saw something of a server. The same again is told anew only now and then, and so are a position and a
+    /// waiting, which always move.
     pub fn saw(&mut self, now: Micros, subject: &str, fact: Fact) {
         let me = self.members.me();
         if let Some(kept) = self.evidence.get(&me.name, subject, fact.kind()) {
-            let moves = matches!((kept.fact, fact), (Fact::At(_), Fact::At(_)));
+            let moves =
+                matches!((kept.fact, fact), (Fact::At(_), Fact::At(_)) | (Fact::Waits(_), Fact::Waits(_)));
             let anew = if moves { self.terms.tell_every * POSITIONS } else { self.terms.keep_for / ANEW };
             if (kept.fact == fact || moves) && now < kept.at + anew {
                 return;
@@ -225,6 +226,7 @@
             self.tell_due = now + self.terms.tell_every;
             if !self.leaves && !self.members.yields() {
                 self.tell(now);
+                self.members.hasten(now);
                 for (fellow, incarnation) in self.members.accused() {
                     let (to, by) = (self.members.reach(&fellow), self.members.me().clone());
                     self.send(now, to, &Body::Accused(by, fellow.life, incarnation));
--- a/crates/fellows/src/members.rs
+++ b/crates/fellows/src/members.rs
@@ -34,6 +34,13 @@
 const OUTBID: u32 = 2;
 /// Those that are asked at once where this gateway is alone.
 const ASKED: usize = 3;
+/// Changes that wait to be passed on for each further round of gossip, and the most of these at a time.
+const WAITING: usize = 16;
+const HASTE: usize = 2;
+/// So many that came to be known within this time make it ask for more; and how it walks through those that live.
+const CURIOUS_FROM: u32 = 4;
+const CURIOUS_FOR: Micros = 5_000_000;
+const CURIOUS_STEP: usize = 7_919;
 /// Periods between questions to some that are taken to be down, so that a healed cut is noticed.
 const DOWN_EVERY: u32 = 3;
 
@@ -118,6 +125,8 @@
     asked: usize,
     join_due: Micros,
     deaf: bool,
+    /// Since when it counts those that came to be known, how many did since, and in the time before.
+    learned: (Micros, u32, u32),
     outbid: u32,
     rival: Option<u64>,
     yields: bool,
@@ -171,6 +180,7 @@
             asked: seed as usize,
             join_due: now,
             deaf: false,
+            learned: (now, 0, 0),
             outbid: 0,
             rival: None,
             yields: false,
@@ -448,6 +458,30 @@
         self.with(now, |swim, runtime| swim.announce(to, runtime));
     }
 
+    /// Passes changes on sooner while many wait for it. Guards against hundreds that start at once and know each other only
+    /// after half a minute, since a datagram names a few.
+    pub fn hasten(&mut self, now: Micros) {
+        if self.yields {
+            return;
+        }
+        for _ in 0..(self.swim.updates_backlog() / WAITING).min(HASTE) {
+            self.with(now, |swim, runtime| swim.gossip(runtime));
+        }
+        // Each change is passed on a few times only, at first to the few that are known. Whoever hears of many new ones asks
+        // those that live whom they know.
+        let since = now.saturating_sub(self.learned.0);
+        if since > 2 * CURIOUS_FOR || self.learned.1.max(self.learned.2) < CURIOUS_FROM {
+            return;
+        }
+        for _ in 0..2 {
+            self.asked = self.asked.wrapping_add(1);
+            let count = self.living().count().max(1);
+            let Some(one) = self.living().nth(self.asked.wrapping_mul(CURIOUS_STEP) % count) else { return };
+            let one = one.fellow.clone();
+            self.with(now, |swim, runtime| swim.announce(one, runtime));
+        }
+    }
+
     /// Says farewell.
     pub fn leave(&mut self, now: Micros) {
         if !self.yields {
@@ -509,6 +543,10 @@
         match news {
             OwnedNotification::MemberUp(fellow) => {
                 stands(&fellow, Standing::Alive);
+                if now > self.learned.0 + CURIOUS_FOR {
+                    self.learned = (now, 0, self.learned.1);
+                }
+                self.learned.1 += 1;
                 self.news.push(News::Up(fellow));
             }
             OwnedNotification::MemberDown(fellow) => {
--- a/crates/fellows/src/opinion.rs
+++ b/crates/fellows/src/opinion.rs
@@ -29,9 +29,8 @@
     pub position: Option<u64>,
     /// Observers whom the list told that it drains.
     pub drains: usize,
-    /// The lowest warmth told, and the mean of the room filled, in hundredths.
-    pub warmth: Option<u8>,
-    pub room: Option<u8>,
+    /// The mean of what commands waited there, by those that met it cold, in milliseconds.
+    pub waits: Option<u32>,
 }
 
 impl Opinion {
@@ -61,7 +60,7 @@
     let doubtful = doubtful(evidence);
     let mut found: BTreeMap<String, Opinion> = BTreeMap::new();
     let mut zones: BTreeMap<(String, bool), BTreeSet<u8>> = BTreeMap::new();
-    let mut rooms: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    let mut waited: BTreeMap<String, (u32, u32)> = BTreeMap::new();
     for (source, subject, kept) in evidence.all() {
         if source == own || doubtful.contains(source) || kept.fact.kind() == Kind::Fellow {
             continue;
@@ -77,13 +76,10 @@
             Fact::Follows => opinion.follows = newest(opinion.follows),
             Fact::At(position) => opinion.position = opinion.position.max(Some(position)),
             Fact::Drains => opinion.drains += 1,
-            Fact::Warmth(warmth) => {
-                opinion.warmth = Some(opinion.warmth.map_or(warmth, |known| known.min(warmth)));
-            }
-            Fact::Room(room) => {
-                let (sum, count) = rooms.entry(subject.into()).or_default();
-                (*sum, *count) = (*sum + u32::from(room), *count + 1);
-                opinion.room = u8::try_from(*sum / *count).ok();
+            Fact::Waits(waits) => {
+                let (sum, count) = waited.entry(subject.into()).or_default();
+                (*sum, *count) = (*sum + u32::from(waits), *count + 1);
+                opinion.waits = Some(*sum / *count);
             }
             Fact::Suspects | Fact::Leaves => {}
         }
--- a/crates/gateway/src/gateway/company.rs
+++ b/crates/gateway/src/gateway/company.rs
@@ -197,9 +197,15 @@
     fn advise(&mut self, now: Micros) {
         let Some(company) = self.company.as_mut().filter(|company| company.advise_due <= now) else { return };
         company.advise_due = now + ADVISE_EVERY;
-        if !company.advise || company.fellows.evidence().is_empty() {
+        if !company.advise {
             return;
         }
+        for server in company.groups.keys() {
+            if let Some(waits) = self.router.waits_at_cold(now, *server) {
+                let waits = u16::try_from(waits / 1_000).unwrap_or(u16::MAX);
+                company.fellows.saw(now, self.servers_named.name(*server), Fact::Waits(waits));
+            }
+        }
         let own = company.fellows.members().me().name.clone();
         let opinions = company.fellows.opinions(now);
         let mut groups: BTreeMap<usize, Vec<&str>> = BTreeMap::new();
@@ -209,11 +215,13 @@
         for members in groups.values() {
             let leader = opinion::leader(company.fellows.evidence(), &own, members);
             for member in members {
-                let bad = opinions.get(*member).is_some_and(|opinion| opinion.is_bad());
+                let opinion = opinions.get(*member);
+                let bad = opinion.is_some_and(|opinion| opinion.is_bad());
+                let waiting = opinion.and_then(|opinion| opinion.waits).map_or(0.0, |ms| f64::from(ms) * 1e3);
                 let leads = leader.filter(|(name, _)| name == member).map(|(_, at)| at);
                 let Some(server) = self.servers_named.find(member) else { continue };
-                if bad || leads.is_some() {
-                    self.router.told(&Hearsay { server, leads, bad });
+                if bad || leads.is_some() || waiting > 0.0 {
+                    self.router.told(now, &Hearsay { server, leads, bad, waiting });
                 }
             }
         }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -51,7 +51,7 @@
             std::fs::create_dir(&folder)?;
             let peer = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
             Ok(Gateway {
-                name: format!("n{number}"),
+                name: format!("n{}", if plan.twins && number + 1 == plan.gateways { 0 } else { number }),
                 address: free_tcp()?,
                 peer,
                 control: folder.join("control"),
@@ -93,7 +93,11 @@
             );
             for (other, peer) in self.gateways.iter().enumerate().filter(|(other, _)| *other != number) {
                 let (name, address) = (&peer.name, links.address(number, other));
-                ini += &format!("peer.{name} = {address}\nroute.{name} = {address}\n");
+                if !plan.twins {
+                    ini += &format!("peer.{name} = {address}\nroute.{name} = {address}\n");
+                } else if other + 1 < plan.gateways && *name != gateway.name {
+                    ini += &format!("peer.{name} = {}\n", peer.peer);
+                }
             }
             std::fs::write(gateway.folder.join("settings.ini"), ini + more)?;
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -143,10 +143,11 @@
 // --- Warming ---
 /// Over which time a member's usual work is measured: longer than a restart takes to be forgotten.
 const WORK_HALF_LIFE: Micros = 20 * SECOND;
-/// Part of what the rule on cold servers allows that is used: the rest covers chance, uneven groups and zones.
-const WARMING_SHARE: f64 = 0.6;
-/// As many times more for one that answers without a queue; under the multiple that the rule allows even so.
-const WARMING_PROMPT: f64 = 1.5;
+/// Part of what the rule on cold servers allows that is used: the rest covers chance. Uneven groups, and a fleet that
+/// does not cope, are counted apart.
+const WARMING_SHARE: f64 = 0.9;
+/// Part of that for one of which a queue is known.
+const WARMING_QUEUED: f64 = 2.0 / 3.0;
 /// The share shrinks once less than this part of what is asked is answered: some tries again are in any day.
 const KNOWN_SLACK: f64 = 0.75;
 /// So many commands' weight has the guess that all is answered and groups are alike: a new router knows no better.
@@ -401,13 +402,17 @@
     /// What other routers saw of a server: weaker than all that was heard here. Guards against routers that start
     /// together and each learn by failures what the rest knows. Where servers do not check themselves, a wrong word
     /// of who leads could make a read stale, and counts for nothing.
-    pub fn told(&mut self, hearsay: &Hearsay) {
+    pub fn told(&mut self, now: Micros, hearsay: &Hearsay) {
         let (guarded, probes) = (self.guarded(), self.flag("limits.probes", false));
         let Some(member) = self.members.get_mut(&hearsay.server) else { return };
         let heard = member.answered_at > 0 || member.ping.is_some();
         let leads = hearsay.leads.filter(|at| member.denied.is_none_or(|no| no + LIST_LAG < *at));
         member.claimed = member.claimed.max(leads.filter(|_| guarded));
         member.down |= hearsay.bad && !heard && probes;
+        // A queue there that others met keeps more away; that they met none lets no more in.
+        if hearsay.waiting > member.average_waiting(now) {
+            (member.waiting, member.waiting_at) = (hearsay.waiting, now);
+        }
         let group = member.group;
         self.note_primary(group);
     }
@@ -821,11 +826,12 @@
             return true;
         }
         let warmth = self.number("rules.fall_multiple", 1.0) * part * WARMING_SHARE;
-        // That it answers without a queue tells that it bears more than it gets.
+        // One without a queue bears more than it gets. Guards against a cold member that starves since each of many
+        // routers has had no answer of it: a queue is what tells against it, and not that nothing is known.
+        let quiet = self.waiting(now, member) < kind.response_target as f64 * CROWDED / 2.0;
         let answers = member.started.is_some_and(|at| member.proved > at);
-        let prompt = answers && self.waiting(now, member) < kind.response_target as f64 * CROWDED / 2.0;
         // One long read may take as much as all else together.
-        if self.long(kind) && (warmth < 1.0 || !prompt) {
+        if self.long(kind) && (warmth < 1.0 || !answers || !quiet) {
             return false;
         }
         // What only the primary takes is no more than one member bears on any day, and it has nowhere else to go.
@@ -837,7 +843,7 @@
         let coped = (self.seen.answered.read(now, COPY_HALF_LIFE) + KNOWN_LEAST) / (asked + KNOWN_LEAST);
         let group = self.groups.get(&member.group).map_or(0.0, |g| g.commands.read(now, COPY_HALF_LIFE));
         let even = (asked / fleet.groups + KNOWN_LEAST) / (group + KNOWN_LEAST);
-        let more = if prompt && even >= KNOWN_SLACK { WARMING_PROMPT } else { 1.0 };
+        let queued = if quiet { 1.0 } else { WARMING_QUEUED };
         let fair = if only {
             if warmth >= 1.0 { f64::INFINITY } else { 1.0 }
         } else {
@@ -847,7 +853,7 @@
             let part = if leads { near * READ_ROOM } else { near };
             part * fleet.groups * member.size / fleet.size
         };
-        let share = fair * warmth * more * (coped * even / KNOWN_SLACK).min(1.0);
+        let share = fair * warmth * queued * (coped * even / KNOWN_SLACK).min(1.0);
         let mut lot = Chance::new(self.lot(cmd, server));
         lot.below(LOTS);
         let drawn = (lot.below(LOTS) as f64) < share * LOTS as f64;
--- a/src/balance/lacks.rs
+++ b/src/balance/lacks.rs
@@ -4,6 +4,14 @@
 use super::*;
 
 impl Router {
+    /// How long commands waited of late at a member that has just started and answers, in microseconds; None for any
+    /// other: what a gateway can tell others of a cold member.
+    pub fn waits_at_cold(&self, now: Micros, server: usize) -> Option<Micros> {
+        let member = self.members.get(&server)?;
+        let answers = member.started.is_some_and(|at| member.proved > at);
+        (answers && self.cold_part(now, member) < 1.0).then(|| member.average_waiting(now) as Micros)
+    }
+
     /// What each member of a command's group lacks for it at this moment, in the order of the members' numbers; empty for
     /// a group or command group that is not known. Asking changes nothing.
     pub fn lacks(&self, now: Micros, held: &Held) -> Vec<Lacking> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,13 +114,15 @@
 }
 
 /// What other routers say of a server, for [`Router::told`](crate::Router::told).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Hearsay {
     pub server: usize,
     /// When it was last heard to lead, where others agree that it does.
     pub leads: Option<Micros>,
     /// It is known to be of no use.
     pub bad: bool,
+    /// How long commands waited there of late, where it has just started: the mean of what others met, in microseconds.
+    pub waiting: f64,
 }
 
 /// Where to send a command.
