Tell only trouble among hundreds; a server found bad after the last answer here is left

Need: on the whole fleet 7.3% of payments fail at primaries that each of 300 gateways finds out to hang for itself; all that 300 gateways see of 120 servers does not fit into datagrams of 256 bytes. Change: tell = trouble passes on who refuses or hangs, and its end; a server counts as bad also where it was found so by two of two zones after anybody's last answer, and for a router where that is newer than all it heard itself; it is then probed before it is used. Measured: not yet at size; tests of the opinion's and the router's cases.

--- a/crates/fellows/src/opinion.rs
+++ b/crates/fellows/src/opinion.rs
@@ -22,6 +22,9 @@
     pub hangs: usize,
     pub accusing_zones: usize,
     pub answering_zones: usize,
+    /// When it was last found to refuse or to hang, and when it last answered anybody, by this gateway's clock.
+    pub accused_at: Option<Micros>,
+    pub answered_at: Option<Micros>,
     /// The age of the newest word that it leads, or that it follows.
     pub leads: Option<Micros>,
     pub follows: Option<Micros>,
@@ -34,10 +37,13 @@
 }
 
 impl Opinion {
-    /// Known bad: two observers at least, more than those whom it answers, from two zones or where only one sees it.
-    pub fn is_bad(&self) -> bool {
+    /// Known bad, and since when it was last found so: by two observers at least, from two zones or where none gets answers;
+    /// and by more than those whom it answers, or after the last answer that anybody got.
+    pub fn bad(&self) -> Option<Micros> {
         let against = self.refuses + self.hangs;
-        against >= 2 && against > self.answers && (self.accusing_zones >= 2 || self.answering_zones == 0)
+        let since = against > self.answers || self.answered_at < self.accused_at;
+        let bad = against >= 2 && since && (self.accusing_zones >= 2 || self.answering_zones == 0);
+        self.accused_at.filter(|_| bad)
     }
 }
 
@@ -69,9 +75,15 @@
         let age = now.saturating_sub(kept.at);
         let newest = |known: Option<Micros>| Some(known.map_or(age, |known| known.min(age)));
         match kept.fact {
-            Fact::Answers => opinion.answers += 1,
-            Fact::Refuses => opinion.refuses += 1,
-            Fact::Hangs => opinion.hangs += 1,
+            Fact::Answers => {
+                opinion.answers += 1;
+                opinion.answered_at = opinion.answered_at.max(Some(kept.at));
+            }
+            Fact::Refuses | Fact::Hangs => {
+                let count = if kept.fact == Fact::Hangs { &mut opinion.hangs } else { &mut opinion.refuses };
+                *count += 1;
+                opinion.accused_at = opinion.accused_at.max(Some(kept.at));
+            }
             Fact::Leads => opinion.leads = newest(opinion.leads),
             Fact::Follows => opinion.follows = newest(opinion.follows),
             Fact::At(position) => opinion.position = opinion.position.max(Some(position)),
--- a/crates/fellows/tests/fellows/evidence.rs
+++ b/crates/fellows/tests/fellows/evidence.rs
@@ -116,11 +116,15 @@
         (vec![("a", 0, Refuses), ("b", 0, Hangs), ("c", 1, Answers)], false),
         (vec![("a", 0, Refuses), ("b", 1, Hangs), ("c", 1, Answers)], true),
         (vec![("a", 0, Refuses), ("b", 1, Refuses), ("c", 1, Answers), ("d", 2, Answers)], false),
+        (vec![("a", 0, Hangs), ("b", 1, Hangs), ("old", 1, Answers), ("older", 2, Answers)], true),
         (vec![("own", 0, Refuses), ("a", 1, Refuses)], false),
     ] {
-        let items: Vec<Item> = said.iter().map(|(s, zone, fact)| item(s, *zone, 1, "x", *fact, 5)).collect();
+        let items: Vec<Item> = said
+            .iter()
+            .map(|(s, zone, fact)| item(s, *zone, 1, "x", *fact, if s.starts_with("old") { 900 } else { 5 }))
+            .collect();
         let found = opinions(NOW, &told(&items), "own");
-        assert_eq!(found.get("x").is_some_and(|opinion| opinion.is_bad()), bad, "{said:?}");
+        assert_eq!(found.get("x").is_some_and(|opinion| opinion.bad().is_some()), bad, "{said:?}");
     }
 }
 
@@ -132,7 +136,7 @@
     items.extend((1..6).map(|n| item("well", 1, n + 1, &format!("s{n}"), Fact::Answers, 5)));
     let evidence = told(&items);
     assert_eq!(doubtful(&evidence).into_iter().collect::<Vec<_>>(), ["broken"]);
-    assert!(opinions(NOW, &evidence, "own").values().all(|opinion| !opinion.is_bad()));
+    assert!(opinions(NOW, &evidence, "own").values().all(|opinion| !opinion.bad().is_some()));
 }
 
 #[test]
--- a/crates/gateway/src/gateway/company.rs
+++ b/crates/gateway/src/gateway/company.rs
@@ -35,6 +35,7 @@
     socket: Rc<UdpSocket>,
     key_file: PathBuf,
     advise: bool,
+    tell_all: bool,
     advise_due: Micros,
     /// Servers' groups, as the list tells.
     groups: BTreeMap<usize, usize>,
@@ -119,6 +120,7 @@
             socket,
             key_file: key_file.clone(),
             advise: told.advise,
+            tell_all: told.tell_all,
             advise_due: now + ADVISE_EVERY,
             groups: BTreeMap::new(),
             regions: told.regions.iter().map(|(name, _)| name.clone()).collect(),
@@ -216,11 +218,11 @@
             let leader = opinion::leader(company.fellows.evidence(), &own, members);
             for member in members {
                 let opinion = opinions.get(*member);
-                let bad = opinion.is_some_and(|opinion| opinion.is_bad());
+                let bad = opinion.and_then(|opinion| opinion.bad());
                 let waiting = opinion.and_then(|opinion| opinion.waits).map_or(0.0, |ms| f64::from(ms) * 1e3);
                 let leads = leader.filter(|(name, _)| name == member).map(|(_, at)| at);
                 let Some(server) = self.servers_named.find(member) else { continue };
-                if bad || leads.is_some() || waiting > 0.0 {
+                if bad.is_some() || leads.is_some() || waiting > 0.0 {
                     self.router.told(now, &Hearsay { server, leads, bad, waiting });
                 }
             }
@@ -237,6 +239,18 @@
             Ending::TimedOut => Some(Fact::Hangs),
             Ending::Reset | Ending::Recalled | Ending::Unsent => None,
         };
+        let accused = |fellows: &Fellows| {
+            let mut all = fellows.evidence().all();
+            all.any(|(_, subject, kept)| subject == name && matches!(kept.fact, Fact::Refuses | Fact::Hangs))
+        };
+        // Among hundreds only trouble is told, and its end.
+        if !company.tell_all {
+            let worth = reach.filter(|reach| *reach != Fact::Answers || accused(&company.fellows));
+            if let Some(fact) = worth {
+                company.fellows.saw(now, name, fact);
+            }
+            return;
+        }
         let role = said.primary.map(|leads| if leads { Fact::Leads } else { Fact::Follows });
         for fact in [reach, role, said.position.map(Fact::At)].into_iter().flatten() {
             company.fellows.saw(now, name, fact);
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -203,6 +203,8 @@
     pub old_after: Micros,
     /// Whether the router hears what others saw.
     pub advise: bool,
+    /// Whether all that is seen of servers is told, or only trouble and its end.
+    pub tell_all: bool,
 }
 
 impl Default for Company {
@@ -222,6 +224,7 @@
             keep_for: 30_000_000,
             old_after: 2_000_000,
             advise: true,
+            tell_all: true,
         }
     }
 }
@@ -253,6 +256,7 @@
             "keep_for",
             "old_after",
             "advise",
+            "tell",
         ])?;
         let address =
             |text: &str| text.parse().map_err(|_| format!("'{text}' is not an address with a port"));
@@ -298,6 +302,8 @@
         };
         self.datagram = section.value("datagram", within)?.unwrap_or(self.datagram);
         self.advise = section.value("advise", flag)?.unwrap_or(self.advise);
+        let tells = [("all", true), ("trouble", false)];
+        self.tell_all = section.value("tell", |text| one_of("way", text, &tells))?.unwrap_or(self.tell_all);
         if self.suspect_for < self.probe_every {
             return Err(section.fault_at("suspect_for", "it is shorter than 'probe_every'"));
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -405,10 +405,10 @@
     pub fn told(&mut self, now: Micros, hearsay: &Hearsay) {
         let (guarded, probes) = (self.guarded(), self.flag("limits.probes", false));
         let Some(member) = self.members.get_mut(&hearsay.server) else { return };
-        let heard = member.answered_at > 0 || member.ping.is_some();
         let leads = hearsay.leads.filter(|at| member.denied.is_none_or(|no| no + LIST_LAG < *at));
         member.claimed = member.claimed.max(leads.filter(|_| guarded));
-        member.down |= hearsay.bad && !heard && probes;
+        let heard = member.answered_at.max(member.placed);
+        member.down |= probes && hearsay.bad.is_some_and(|at| heard < at);
         // A queue there that others met keeps more away; that they met none lets no more in.
         if hearsay.waiting > member.average_waiting(now) {
             (member.waiting, member.waiting_at) = (hearsay.waiting, now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -119,8 +119,8 @@
     pub server: usize,
     /// When it was last heard to lead, where others agree that it does.
     pub leads: Option<Micros>,
-    /// It is known to be of no use.
-    pub bad: bool,
+    /// When others last found it to be of no use, where they agree that it is.
+    pub bad: Option<Micros>,
     /// How long commands waited there of late, where it has just started: the mean of what others met, in microseconds.
     pub waiting: f64,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -873,7 +873,8 @@
 fn what_others_saw_is_weaker_than_own_answers() {
     // Guards against routers that start together and learn one by one what the rest knows, and against one that is wrong and
     // makes them believe it. What is told, whether servers check themselves, what was heard here, and where a write goes.
-    let told = |server, leads, bad| Hearsay { server, leads, bad, waiting: 0.0 };
+    // Found bad long ago, before the last answer here, it is not taken for down.
+    let told = |server, leads, bad: bool| Hearsay { server, leads, bad: bad.then_some(1), waiting: 0.0 };
     for (guards, denied, hearsay, goes) in [
         ("wait", false, None, 0),
         ("wait", false, Some(told(1, Some(1), false)), 1),
