A server that started anew by the list is not down any more

Seen: with a new process listed, failures of the old one were forgotten and that it was down was not; it waited for a probe, rare for thin routers, or nothing. Changed: the list's new start clears both (listed in balance.rs). The test fails without.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -351,7 +351,7 @@
             let member = self.members.entry(entry.server).or_insert_with(new);
             if entry.standing == Standing::Serving && entry.started != member.started {
                 // A new process: what was known of the old one's health no longer tells anything.
-                member.started = entry.started;
+                (member.started, member.down) = (entry.started, false);
                 member.failures = Decaying::default();
             }
             member.serving = entry.standing == Standing::Serving || gone && member.serving;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -693,6 +693,19 @@
     }
 }
 
+#[test]
+fn a_member_that_started_anew_is_not_down_any_more() {
+    // Guards against a server that was found down, came back as the list says, and waits for a probe that is rare.
+    let mut store = Store::calm(&[]);
+    store.probe_fails(0, Ending::TimedOut);
+    let held = store.command(MUTATING);
+    assert!(!matches!(store.place(&held), Place::Dispatch { server: 0, .. }));
+    store.restart(0);
+    store.now += 17_000 * MS;
+    let mut held = store.command(MUTATING);
+    assert_eq!(store.sent(&mut held), 0);
+}
+
 #[test]
 fn many_routers_copy_little_each() {
     // Guards against a storm of copies: each of hundreds of routers is late now and then.
