--- a/crates/fellows/tests/fellows/evidence.rs
+++ b/crates/fellows/tests/fellows/evidence.rs
@@ -136,7 +136,7 @@
     items.extend((1..6).map(|n| item("well", 1, n + 1, &format!("s{n}"), Fact::Answers, 5)));
     let evidence = told(&items);
     assert_eq!(doubtful(&evidence).into_iter().collect::<Vec<_>>(), ["broken"]);
-    assert!(opinions(NOW, &evidence, "own").values().all(|opinion| !opinion.bad().is_some()));
+    assert!(opinions(NOW, &evidence, "own").values().all(|opinion| opinion.bad().is_none()));
 }
 
 #[test]
