The bound on bursts to a cold member stays at six tenths of what the rule allows

Cause: WARMING_SHARE had grown to nine tenths and was the burst bound's part too (warm_enough in balance.rs); what a router sends within the window after a burst comes on top of it. Ruled out: the lots, which no router draws above a warmth of one. Changed: a part of its own, six tenths as before, for bursts.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -146,7 +146,9 @@
 /// Part of what the rule on cold servers allows that is used: the rest covers chance. Uneven groups, and a fleet that
 /// does not cope, are counted apart.
 const WARMING_SHARE: f64 = 0.9;
-/// Part of that for one of which a queue is known.
+/// Part of it that a router may send in one go: what follows within the rule's window comes on top.
+const WARMING_BURST: f64 = 0.6;
+/// Part of its share for one of which a queue is known.
 const WARMING_QUEUED: f64 = 2.0 / 3.0;
 /// The share shrinks once less than this part of what is asked is answered: some tries again are in any day.
 const KNOWN_SLACK: f64 = 0.75;
@@ -825,7 +827,8 @@
         if part >= 1.0 {
             return true;
         }
-        let warmth = self.number("rules.fall_multiple", 1.0) * part * WARMING_SHARE;
+        let allowed = self.number("rules.fall_multiple", 1.0) * part;
+        let warmth = allowed * WARMING_SHARE;
         // One without a queue bears more than it gets. Guards against a cold member that starves since each of many
         // routers has had no answer of it: a queue is what tells against it, and not that nothing is known.
         let quiet = self.waiting(now, member) < kind.response_target as f64 * CROWDED / 2.0;
@@ -862,7 +865,7 @@
         let answered = self.seen.work.rate(now, WORK_HALF_LIFE) / fleet.size;
         let rate = answered.max(1.0 / self.number("routers", 1.0)) * member.size;
         let window = self.number("rules.fall_for", 0.0);
-        drawn && member.sent_work.read(now, self.fall_half_life()) <= warmth * rate * window
+        drawn && member.sent_work.read(now, self.fall_half_life()) <= allowed * WARMING_BURST * rate * window
     }
 
     /// A steady rate adds up over the window of the cold rule to as much as decays with this half-life.
