Ports of the rig's gateways lie below those that the system hands out

Cause: fleet.rs let the system choose a port, gave it back and started the gateway on it later, while rigs beside it open sockets by the hundred. Changed: ports from 10,000 on, tried by TCP and UDP, none twice in a process.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
@@ -38,8 +39,25 @@
     pub gateways: Vec<Gateway>,
 }
 
-fn free_tcp() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Ports for gateways lie below those that the system hands out by itself: a gateway that is started anew must find its own
+/// free, though other rigs open sockets by the hundred meanwhile.
+const PORTS: std::ops::Range<u16> = 10_000..30_000;
+/// The place where the next free port is looked for; each process begins elsewhere.
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A port that nobody uses now, by TCP and UDP.
+fn free() -> std::io::Result<SocketAddr> {
+    let mut last = std::io::Error::from(std::io::ErrorKind::AddrInUse);
+    for _ in PORTS {
+        let place = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(101));
+        let port = PORTS.start + (place % PORTS.len() as u32) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        match TcpListener::bind(address).and_then(|_| UdpSocket::bind(address)) {
+            Ok(_) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
 }
 
 impl Fleet {
@@ -49,10 +67,10 @@
         let one = |number: usize| {
             let folder = folder.path().join(format!("n{number}"));
             std::fs::create_dir(&folder)?;
-            let peer = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+            let peer = free()?;
             Ok(Gateway {
                 name: format!("n{}", if plan.twins && number + 1 == plan.gateways { 0 } else { number }),
-                address: free_tcp()?,
+                address: free()?,
                 peer,
                 control: folder.join("control"),
                 folder,
