--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -162,8 +162,9 @@
                 3 => vec![What::Bad {
                     from: (0..gateways).collect(),
                     to: (0..gateways).collect(),
-                    lost: 0.3 * rng.f64(),
-                    doubled: 0.3 * rng.f64(),
+                    // Hundredths, so that a plan reads as it was written.
+                    lost: f64::from(rng.u32(0..31)) / 100.0,
+                    doubled: f64::from(rng.u32(0..31)) / 100.0,
                     delay_ms: rng.u64(1..30),
                 }],
                 4 => vec![What::Kill { who: vec![one] }],
