--- a/crates/fellows/src/evidence.rs
+++ b/crates/fellows/src/evidence.rs
@@ -174,13 +174,6 @@
         gone.iter().for_each(|key| self.remove(key));
     }
 
-    /// A source counts no longer: it has left or is another life's.
-    pub fn forget(&mut self, source: &str, before: u64) {
-        let gone: Vec<Key> =
-            self.of(source).filter(|(_, kept)| kept.life < before).map(|(key, _)| key.clone()).collect();
-        gone.iter().for_each(|key| self.remove(key));
-    }
-
     pub fn len(&self) -> usize {
         self.items.len()
     }
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -49,6 +49,8 @@
     pub old_after: Micros,
     /// Evidence goes out so often.
     pub tell_every: Micros,
+    /// Whether all that is seen is told; else only trouble and its end, as among hundreds.
+    pub tell_all: bool,
 }
 
 impl Default for Terms {
@@ -60,6 +62,7 @@
             items: 256,
             old_after: 2_000_000,
             tell_every: 200_000,
+            tell_all: true,
         }
     }
 }
@@ -188,6 +191,9 @@
     /// This gateway saw something of a server. The same again is told anew only now and then, and so are a position and a
     /// waiting, which always move.
     pub fn saw(&mut self, now: Micros, subject: &str, fact: Fact) {
+        if !self.terms.tell_all && !self.worth_telling(subject, fact) {
+            return;
+        }
         let me = self.members.me();
         if let Some(kept) = self.evidence.get(&me.name, subject, fact.kind()) {
             let moves =
@@ -210,6 +216,18 @@
         self.evidence.merge(now, &item, 0);
     }
 
+    /// Trouble, its end, and what only single servers have: one that just started, a drain, a fellow.
+    fn worth_telling(&self, subject: &str, fact: Fact) -> bool {
+        match fact.kind() {
+            Kind::Reach if fact == Fact::Answers => self
+                .evidence
+                .all()
+                .any(|(_, of, kept)| of == subject && matches!(kept.fact, Fact::Refuses | Fact::Hangs)),
+            Kind::Role | Kind::Position => false,
+            _ => true,
+        }
+    }
+
     /// When [`Fellows::settle`] is to be called at the latest.
     pub fn next(&self) -> Micros {
         self.members.next().min(self.tell_due).min(self.fade_due)
--- a/crates/fellows/src/seal.rs
+++ b/crates/fellows/src/seal.rs
@@ -179,9 +179,4 @@
         let (sealed, _) = bytes.split_last_chunk::<TAG>()?;
         postcard::take_from_bytes::<Head>(sealed).ok().map(|(_, body)| body)
     }
-
-    /// A sender is gone for good.
-    pub fn forget(&mut self, name: &str) {
-        self.senders.remove(name);
-    }
 }
--- a/crates/gateway/src/gateway/company.rs
+++ b/crates/gateway/src/gateway/company.rs
@@ -35,7 +35,6 @@
     socket: Rc<UdpSocket>,
     key_file: PathBuf,
     advise: bool,
-    tell_all: bool,
     advise_due: Micros,
     /// Servers' groups, as the list tells.
     groups: BTreeMap<usize, usize>,
@@ -110,6 +109,7 @@
             keep_for: told.keep_for,
             old_after: told.old_after,
             tell_every: told.gossip_every,
+            tell_all: told.tell_all,
             ..Terms::default()
         };
         let seed = self.deployment.seed ^ now;
@@ -120,7 +120,6 @@
             socket,
             key_file: key_file.clone(),
             advise: told.advise,
-            tell_all: told.tell_all,
             advise_due: now + ADVISE_EVERY,
             groups: BTreeMap::new(),
             regions: told.regions.iter().map(|(name, _)| name.clone()).collect(),
@@ -239,18 +238,6 @@
             Ending::TimedOut => Some(Fact::Hangs),
             Ending::Reset | Ending::Recalled | Ending::Unsent => None,
         };
-        let accused = |fellows: &Fellows| {
-            let mut all = fellows.evidence().all();
-            all.any(|(_, subject, kept)| subject == name && matches!(kept.fact, Fact::Refuses | Fact::Hangs))
-        };
-        // Among hundreds only trouble is told, and its end.
-        if !company.tell_all {
-            let worth = reach.filter(|reach| *reach != Fact::Answers || accused(&company.fellows));
-            if let Some(fact) = worth {
-                company.fellows.saw(now, name, fact);
-            }
-            return;
-        }
         let role = said.primary.map(|leads| if leads { Fact::Leads } else { Fact::Follows });
         for fact in [reach, role, said.position.map(Fact::At)].into_iter().flatten() {
             company.fellows.saw(now, name, fact);
