A read tells a connection that broke from one that ended

Cause: a reset and an end were the same to the reader of an inbox, so that discovery's answer without a length was taken whole after a reset.

--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -13,8 +13,10 @@
     Dry,
     /// The limit is reached; more may be there.
     Full,
-    /// The other side has ended, or the connection broke.
+    /// The other side has ended.
     Ended,
+    /// The connection broke: a reset is no end, what came before it may be a part.
+    Broken,
 }
 
 /// Bytes read and not used yet.
@@ -54,7 +56,7 @@
                 Ok(count) => self.put(&chunk[..count]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Reading::Dry,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Reading::Ended,
+                Err(_) => return Reading::Broken,
             }
         }
     }
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -149,7 +149,7 @@
         if self.phase == Phase::Closing {
             self.inbox.consume(usize::MAX);
         }
-        reading != Reading::Ended
+        !matches!(reading, Reading::Ended | Reading::Broken)
     }
 
     /// Takes the next message; commands once the gateway `takes` them, empty queries once it is `ready`.
--- a/crates/gateway/src/wire/directory.rs
+++ b/crates/gateway/src/wire/directory.rs
@@ -54,7 +54,7 @@
             match reading {
                 Reading::Full => {}
                 Reading::Dry => return Ok(!matches!(self.body, Body::Done)),
-                Reading::Ended => {
+                Reading::Ended | Reading::Broken => {
                     if matches!(self.body, Body::Length(usize::MAX)) {
                         self.body = Body::Done;
                         self.take(lists)?;
