A pipelined request's time counts from its arrival, not from its turn

A build that only logged arrivals: all 103 that were left by their clients had their deadline behind them, counted from arrival (1.02 to 1.3 of it). Ruled out: clients that give up early (none left before their deadline), resets, discovery's outage (before and after it alike). Lines: Gateway::take_command, client_timeout = now + d, where now is the turn of a request that came long before.

--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -89,9 +89,10 @@
     }
 
     pub(super) fn client_ready(&mut self, key: u64, readiness: Readiness) {
+        let now = self.clock.now();
         let Some(client) = self.clients.get(key) else { return };
         let flushed = client.outbox.is_empty() || client.outbox.flush(&client.stream).is_ok();
-        if !flushed || readiness.readable && !client.read() {
+        if !flushed || readiness.readable && !client.read(now) {
             self.close_client(key);
             return;
         }
@@ -110,14 +111,14 @@
     /// Takes a client's next messages until one is in hand. Guards against a client that sends without end and keeps
     /// the others waiting.
     pub(super) fn serve_client(&mut self, key: u64) {
-        let (takes, ready) = (self.takes, self.ready);
+        let (now, takes, ready) = (self.clock.now(), self.takes, self.ready);
         for turn in 0.. {
             let Some(client) = self.clients.get(key) else { break };
             if turn == TURN {
                 self.resume.push_back(key);
                 break;
             }
-            match client.next(takes, ready) {
+            match client.next(now, takes, ready) {
                 Next::Wait => break,
                 Next::Answered => {}
                 Next::Opened => self.clients.opened(key),
@@ -153,6 +154,7 @@
         let now = self.clock.now();
         let command = self.number();
         let Some(client) = self.clients.see(key) else { return };
+        let came = client.came(length).unwrap_or(now);
         let read = Head::read(&client.inbox.rest()[..length]).and_then(|head| {
             let mut known = self.deployment.command_groups.iter();
             let place = known.position(|group| group.name == head.command_group);
@@ -189,7 +191,7 @@
             group: self.groups.find(head.group).unwrap_or(usize::MAX),
             session,
             arrived: now,
-            client_timeout: (now + at_millis(head.wait)).min(self.stops.unwrap_or(Micros::MAX)),
+            client_timeout: (came + at_millis(head.wait)).min(self.stops.unwrap_or(Micros::MAX)),
             // A commit of this very moment still counts as one.
             written_ago: head.after.map(|after| now.saturating_sub(at_millis(after)).max(1)),
             // Clients here do not say.
@@ -206,9 +208,10 @@
     /// Once the listener is closed, a connection without a command in hand is closed too; what is on its way in gets
     /// a moment more.
     pub(super) fn part_with(&mut self, key: u64) {
+        let now = self.clock.now();
         let Some(client) = self.clients.get(key).filter(|c| c.is_idle() && !c.is_closing()) else { return };
         // Guards against a command that lies unread on a connection that is ended: it came in time to be taken.
-        if !client.read() {
+        if !client.read(now) {
             self.close_client(key);
         } else if client.is_idle() {
             client.close_gently();
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -1,5 +1,6 @@
 //! A client's connection: its messages one after the other, and the answers to them.
 
+use std::collections::VecDeque;
 use std::net::TcpStream;
 use std::ops::Range;
 use std::rc::Rc;
@@ -67,6 +68,8 @@
     pub stream: Rc<TcpStream>,
     pub token: RegistrationToken,
     pub inbox: Inbox,
+    /// How many bytes of the inbox came when, the first ones first.
+    came: VecDeque<(usize, Micros)>,
     pub outbox: Outbox,
     phase: Phase,
     pub in_hand: Option<InHand>,
@@ -92,6 +95,7 @@
             stream,
             token,
             inbox: Inbox::default(),
+            came: VecDeque::new(),
             outbox: Outbox::default(),
             phase: Phase::Opening,
             in_hand: None,
@@ -137,26 +141,28 @@
     }
 
     /// Reads what is there; false: the client has ended.
-    pub fn read(&mut self) -> bool {
+    pub fn read(&mut self, now: Micros) -> bool {
         // Guards against clients that send ahead or do not read, whose bytes would fill the memory.
         let most = match &self.in_hand {
             Some(in_hand) => in_hand.length + AHEAD,
             None if !self.outbox.is_empty() => AHEAD,
             None => MESSAGE_MOST + frames::HEAD,
         };
+        let before = self.inbox.rest().len();
         let reading = self.inbox.read(&self.stream, most);
+        self.note_came(self.inbox.rest().len() - before, now);
         self.more = reading == Reading::Full;
         if self.phase == Phase::Closing {
-            self.inbox.consume(usize::MAX);
+            self.drop_front(usize::MAX);
         }
         !matches!(reading, Reading::Ended | Reading::Broken)
     }
 
     /// Takes the next message; commands once the gateway `takes` them, empty queries once it is `ready`.
-    pub fn next(&mut self, takes: bool, ready: bool) -> Next {
+    pub fn next(&mut self, now: Micros, takes: bool, ready: bool) -> Next {
         self.kept = false;
         if self.phase == Phase::Closing {
-            return self.wait();
+            return self.wait(now);
         }
         if self.in_hand.is_some() || !self.outbox.is_empty() {
             return Next::Wait;
@@ -164,20 +170,20 @@
         if self.skip > 0 {
             let count = self.skip.min(self.inbox.rest().len());
             self.skip -= count;
-            self.inbox.consume(count);
+            self.drop_front(count);
             if self.skip > 0 {
-                return self.wait();
+                return self.wait(now);
             }
             self.taken += 1;
             return self
                 .answer(&[&frames::error("ERROR", "54000", "the message is too long", None), frames::READY]);
         }
         if self.phase == Phase::Opening {
-            return self.opening();
+            return self.opening(now);
         }
         let (kind, length) = match frames::first(self.inbox.rest(), MESSAGE_MOST) {
             Ok(Some(first)) => first,
-            Ok(None) => return self.wait(),
+            Ok(None) => return self.wait(now),
             Err(Some(length)) if length <= SKIP_MOST => {
                 self.skip = length;
                 return Next::Answered;
@@ -218,10 +224,43 @@
 
     /// The message at the front is done with.
     pub fn consume(&mut self, length: usize) {
-        self.inbox.consume(length);
+        self.drop_front(length);
         self.taken += 1;
     }
 
+    fn note_came(&mut self, count: usize, now: Micros) {
+        match self.came.back_mut() {
+            // Bounded by the bytes kept and by time: what comes byte by byte is noted by the millisecond.
+            Some((bytes, at)) if now < *at + 1_000 => *bytes += count,
+            _ if count > 0 => self.came.push_back((count, now)),
+            _ => {}
+        }
+    }
+
+    fn drop_front(&mut self, count: usize) {
+        self.inbox.consume(count);
+        let mut left = count;
+        while let Some((bytes, _)) = self.came.front_mut() {
+            if *bytes > left {
+                *bytes -= left;
+                return;
+            }
+            left -= *bytes;
+            self.came.pop_front();
+        }
+    }
+
+    /// When the last byte of the message at the front came. Guards against requests that wait behind others on their
+    /// connection and are then given all of their time once more: their clients leave before that.
+    pub fn came(&self, length: usize) -> Option<Micros> {
+        let mut bytes = 0;
+        let whole = |(count, _): &&(usize, Micros)| {
+            bytes += count;
+            bytes >= length
+        };
+        self.came.iter().find(whole).map(|(_, at)| *at)
+    }
+
     /// What came in whole waits. Guards against a first empty query that is told to have come too late.
     fn keep(&mut self) -> Next {
         self.kept = true;
@@ -229,16 +268,16 @@
     }
 
     /// Waits for more, which may already be in the socket.
-    fn wait(&mut self) -> Next {
+    fn wait(&mut self, now: Micros) -> Next {
         if !self.more {
             return Next::Wait;
         }
-        if self.read() { Next::Answered } else { Next::Close }
+        if self.read(now) { Next::Answered } else { Next::Close }
     }
 
-    fn opening(&mut self) -> Next {
+    fn opening(&mut self, now: Micros) -> Next {
         match frames::opening(self.inbox.rest(), OPENING_MOST) {
-            Ok(None) => self.wait(),
+            Ok(None) => self.wait(now),
             Ok(Some((SSL | GSS, length))) => {
                 self.consume(length);
                 self.answer(&[b"N"])
@@ -283,7 +322,7 @@
     /// Ends this side and drops what comes. Guards against a reset that would overtake the last answer.
     pub fn close_gently(&mut self) {
         self.phase = Phase::Closing;
-        self.inbox.consume(usize::MAX);
+        self.drop_front(usize::MAX);
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
