Hundreds of routers let held writes go at a cold primary within its budget

Seen: 300 routers that held writes for 2 to 4 s send a new cold primary up to 2.56 N of its budget within the first window (1.72 of N + 2 root N + 2); at most 0.8 N with up to 30. Cause: in warm_enough a write's part was the warmth itself (`fair` 1.0, without end from a warmth of one on), which is right for what comes per second. What all held comes at once beside it: the hold's time more than the window's. The bound on bursts does not help: with nothing sent of late it lets each router send one, so 300 send 300 times one. Ruled out: the counts by kind and router show one send each, two thirds of them held writes and their clients' new tries; a part that falls with the command's own wait alone left 1.42, since fresh ones and new tries come at other routers. Change: for 2 s after a primary began to lead or started, the part of what only it takes is window / (window + what is left of those 2 s), for all such commands alike, also from a warmth of one on.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -153,6 +153,8 @@
 const WARMING_BURST: f64 = 0.6;
 /// Part of its share for one of which a queue is known.
 const WARMING_QUEUED: f64 = 2.0 / 3.0;
+/// How long writes are taken to have been held for a new primary: a usual election.
+const HELD_BEFORE: Micros = 2 * SECOND;
 /// The share shrinks once less than this part of what is asked is answered: some tries again are in any day.
 const KNOWN_SLACK: f64 = 0.75;
 /// So many commands' weight has the guess that all is answered and groups are alike, at the start.
@@ -339,7 +341,7 @@
                     }
                     self.ties.retain(|_, tie| tie.0 != entry.server);
                 }
-                self.note_primary(entry.group);
+                self.note_primary(now, entry.group);
                 continue;
             }
             let group = self.groups.entry(entry.group).or_default();
@@ -362,7 +364,7 @@
                 member.claimed = member.claimed.max(Some(now.saturating_sub(LIST_LAG)));
             }
             member.listed_primary = entry.primary;
-            self.note_primary(entry.group);
+            self.note_primary(now, entry.group);
         }
         let serving = |value: fn(&Member) -> usize| {
             let members = self.members.values().filter(|m| m.serving);
@@ -414,7 +416,7 @@
             (member.waiting, member.waiting_at) = (hearsay.waiting, now);
         }
         let group = member.group;
-        self.note_primary(group);
+        self.note_primary(now, group);
     }
 
     /// The client of this command has gone; its dispatches still end one by one.
@@ -441,11 +443,11 @@
             Some(false) => member.denied = member.denied.max(Some(as_of)),
             None => return,
         }
-        self.note_primary(group);
+        self.note_primary(now, group);
     }
 
     /// Newest evidence first: the latest claim that was not denied since.
-    fn note_primary(&mut self, group: usize) {
+    fn note_primary(&mut self, now: Micros, group: usize) {
         let Some(group) = self.groups.get_mut(&group) else { return };
         let claims = group.members.iter().filter_map(|server| {
             let member = &self.members[server];
@@ -455,7 +457,7 @@
         let primary = claims.max().map(|(_, server)| server);
         if primary != group.primary {
             // A change of primary clears all ties of its group.
-            group.primary = primary;
+            (group.primary, group.led) = (primary, now);
             group.age += 1;
         }
     }
@@ -845,27 +847,26 @@
         // One without a queue bears more than it gets. Guards against a cold member that starves since many
         // routers have had no answer of it: a queue tells against it, and not that nothing is known.
         let quiet = self.waiting(now, member) < kind.response_target as f64 * CROWDED / 2.0;
-        let answers = member.started.is_some_and(|at| member.proved > at);
         // One long read may take as much as all else together.
-        if self.long(kind) && (warmth < 1.0 || !answers || !quiet) {
+        if self.long(kind) && (warmth < 1.0 || !quiet || member.started >= Some(member.proved)) {
             return false;
         }
-        // What only the primary takes is no more than one member bears, and it has nowhere else to go.
-        let only = matches!(kind.need, Need::Write | Need::Fresh);
-        let fleet = &self.seen.fleet;
+        let (fleet, group) = (&self.seen.fleet, &self.groups[&member.group]);
         // What was asked beyond what was answered, or of one group beyond others, is not what a member bears.
-        let asked = self.seen.asked.read(now, COPY_HALF_LIFE);
+        let [asked, here] = [&self.seen.asked, &group.commands].map(|sum| sum.read(now, COPY_HALF_LIFE));
         let coped = (self.seen.answered.read(now, COPY_HALF_LIFE) + KNOWN_LEAST) / (asked + KNOWN_LEAST);
-        let group = self.groups.get(&member.group).map_or(0.0, |g| g.commands.read(now, COPY_HALF_LIFE));
-        let even = (asked / fleet.groups + KNOWN_LEAST) / (group + KNOWN_LEAST);
+        let even = (asked / fleet.groups + KNOWN_LEAST) / (here + KNOWN_LEAST);
         let queued = if quiet { 1.0 } else { WARMING_QUEUED };
-        let fair = if only {
-            if warmth >= 1.0 { f64::INFINITY } else { 1.0 }
+        let window = self.number("rules.fall_for", 0.0).max(1.0);
+        let held = (member.started.unwrap_or(0).max(group.led) + HELD_BEFORE).saturating_sub(now) as f64;
+        let fair = if matches!(kind.need, Need::Write | Need::Fresh) {
+            // What only the primary takes is what one member bears, and has nowhere else to go. Guards
+            // against hundreds of routers that let go at once what each held, beside what comes anyway.
+            if warmth >= 1.0 && held <= 0.0 { f64::INFINITY } else { window / (window + held) }
         } else {
             // Reads come from their zone alone as long as it has members; a primary has writes beside them.
             let near = if member.zone == self.zone { fleet.zones } else { 1.0 };
-            let leads = self.groups.get(&member.group).is_some_and(|group| group.primary == Some(server));
-            let part = if leads { near * READ_ROOM } else { near };
+            let part = if group.primary == Some(server) { near * READ_ROOM } else { near };
             part * fleet.groups * member.size / fleet.size
         };
         let share = fair * warmth * queued * (coped * even / KNOWN_SLACK).min(1.0);
@@ -876,7 +877,6 @@
         // its part of what it has answered by such members, or of one core for each unit of size.
         let answered = self.seen.work.rate(now, WORK_HALF_LIFE) / fleet.size;
         let rate = answered.max(1.0 / self.number("routers", 1.0)) * member.size;
-        let window = self.number("rules.fall_for", 0.0);
         drawn && member.sent_work.read(now, self.fall_half_life()) <= allowed * WARMING_BURST * rate * window
     }
 
--- a/src/marks.rs
+++ b/src/marks.rs
@@ -31,8 +31,9 @@
 
 impl Hash for Group {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Group { members, primary, age, commands, last_command, sought, bad, outcomes, shed } = self;
-        (members, primary, age, commands, last_command, sought, bad, outcomes, shed.to_bits()).hash(state);
+        let Group { members, primary, age, led, commands, last_command, sought, bad, outcomes, shed } = self;
+        (members, primary, age, led, commands, last_command, sought, bad, outcomes, shed.to_bits())
+            .hash(state);
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     pub primary: Option<usize>,
     /// Rises with each change of primary; ties of an older age are void.
     pub age: u64,
+    /// When it last changed.
+    pub led: Micros,
     /// Commands of late, for the probes' share of the work.
     pub commands: Decaying,
     pub last_command: Option<Micros>,
