Dropping all that is left of an inbox no longer overflows

Seen: a gateway with overflow checks ended with 'attempt to add with overflow' at Inbox::consume as soon as it ended a connection whose inbox was partly used, for example one that sent a message of an unknown type behind a good one. Cause: close_gently and read in wire/client.rs name the greatest count to drop all, and wire/bytes.rs added it to what was used. Where overflow is not checked the sum wraps: one byte used is given back, what is left is never dropped, and the connection is read and kept for as long as it lingers. Ruled out: the lengths of messages, which are bounded before. Change: the sum saturates. The tests of crates/cli/tests/ending.rs (no_bytes_end_the_gateway, bad_clients_cost_the_others_nothing) panicked there without it.

--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -38,7 +38,8 @@
 
     /// Gives up the first `count` bytes; an empty box gives its memory back.
     pub fn consume(&mut self, count: usize) {
-        self.used = (self.used + count).min(self.bytes.len());
+        // Guards against a sum beyond all: whoever drops all that is left names the greatest count.
+        self.used = self.used.saturating_add(count).min(self.bytes.len());
         if self.used == self.bytes.len() {
             (self.bytes, self.used) = (Vec::new(), 0);
         }
