Times in the settings that can not be added to a clock are refused by their key

Cause: limits.dial_timeout or a window beyond u64 saturated at the conversion, and the first sum with the clock overflowed (gateway/servers.rs begin, the router's window). The table in run/deployment.rs has three more rows, which passed as good before.

--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -11,6 +11,22 @@
 /// Nanoseconds, the settings' unit, in a microsecond.
 const NANOS: f64 = 1_000.0;
 
+/// The times in the settings that stand alone.
+const TIMES: [&str; 8] = [
+    "/round",
+    "/limits/dial_timeout",
+    "/limits/conn_idle",
+    "/limits/max_retry_after",
+    "/guarantees/cold",
+    "/guarantees/drain_grace",
+    "/guarantees/overload_for",
+    "/domain/patience",
+];
+/// And those of each command group.
+const TIMES_EACH: [&str; 3] = ["aim", "hard_limit", "window"];
+/// No time is longer, in nanoseconds: some three hundred years, which can be added to any time of the clock.
+const TIME_MOST: f64 = 1e19;
+
 /// A command group as far as the gateway itself minds it.
 pub struct CommandGroup {
     pub name: String,
@@ -99,6 +115,14 @@
         if command_groups.is_empty() {
             return Err("'settings.categories' names no command group".into());
         }
+        let places =
+            (0..command_groups.len()).flat_map(|k| TIMES_EACH.map(|key| format!("/categories/{k}/{key}")));
+        for path in TIMES.map(String::from).into_iter().chain(places) {
+            let time = settings.pointer(&path).and_then(Json::as_f64);
+            if let Some(nanos) = time.filter(|nanos| !(0.0..=TIME_MOST).contains(nanos)) {
+                return Err(format!("'settings{}' is {nanos}, not a time", path.replace('/', ".")));
+            }
+        }
         let needs = list(&settings["domain"]["needs_by_class"]);
         // Only reads that must see their session's writes make a session worth remembering.
         let sessions = needs.iter().any(|need| need == "causal");
@@ -217,6 +241,9 @@
             ("15000000000", "0", "'settings.limits.conn_idle'"),
             (r#""name":"look","#, "", "'settings.categories.0.name'"),
             (r#""aim":400000000,"#, "", "command_group.0.response_target"),
+            ("1500000000", "1e300", "'settings.categories.0.hard_limit'"),
+            ("400000000", "-1", "'settings.categories.0.aim'"),
+            ("15000000000", "1e300", "'settings.limits.conn_idle'"),
             (r#""categories""#, r#""others""#, "'settings.categories'"),
             (r#""settings""#, r#""others""#, "'settings'"),
         ] {
