A comment holds 64 names at most; statements and messages are read under seeded noise

Cause: Head::read compared each name with all names before it, so that a comment of some twenty thousand cost their square. The properties (whatever bytes come, nothing panics; what was read holds together with its rewritten message) found no fault. what_is_beyond_all_is_refused fails without the bound.

--- a/crates/gateway/src/wire/frames.rs
+++ b/crates/gateway/src/wire/frames.rs
@@ -107,3 +107,45 @@
     out[1..5].copy_from_slice(&length.to_be_bytes());
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::collection::vec;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn no_bytes_are_beyond_reading(
+            bytes in vec(prop_oneof![any::<u8>(), 0..6_u8], 0..60), most in 0..80_usize,
+        ) {
+            match first(&bytes, most) {
+                Ok(Some((kind, length))) => {
+                    prop_assert!(kind == bytes[0] && (HEAD..=most).contains(&length) && length <= bytes.len())
+                }
+                Ok(None) => {}
+                Err(Some(length)) => prop_assert!(length > most),
+                Err(None) => prop_assert!(bytes.len() >= HEAD),
+            }
+            if let Ok(Some((_, length))) = opening(&bytes, most) {
+                prop_assert!((8..=most).contains(&length) && length <= bytes.len());
+            }
+            let _ = (parameter(&bytes), error_code(&bytes), is_one_column(&bytes), is_one_row(&bytes));
+            if let Some(value) = column(&bytes) {
+                prop_assert_eq!(value.len() + 6, bytes.len());
+            }
+        }
+    }
+
+    #[test]
+    fn an_error_is_read_as_it_was_written() {
+        for (message, detail) in [("no", None), ("", Some("200")), ("'id' is no word", Some(""))] {
+            let written = error("ERROR", "53300", message, detail);
+            assert_eq!(first(&written, 1_000), Ok(Some((b'E', written.len()))));
+            assert_eq!(error_code(&written[HEAD..]), Some("53300"));
+        }
+    }
+}
--- a/crates/gateway/src/wire/statement.rs
+++ b/crates/gateway/src/wire/statement.rs
@@ -23,6 +23,9 @@
 /// No client waits longer, in milliseconds: a day.
 const WAIT_MOST: u64 = 86_400_000;
 
+/// Names in a comment; far more than there are.
+const NAMES_MOST: usize = 64;
+
 impl<'a> Head<'a> {
     /// Reads a Query message, its kind and length included; Err tells what is wrong.
     pub fn read(message: &'a [u8]) -> Result<Self, String> {
@@ -63,6 +66,10 @@
             if names.contains(&name.trim()) {
                 return Err(format!("'{}' is given twice", name.trim()));
             }
+            // Guards against a comment of thousands of names, each compared with all before it.
+            if names.len() == NAMES_MOST {
+                return Err("the comment holds too many names".into());
+            }
             names.push(name.trim());
             let number = || value.parse::<u64>().map_err(|_| format!("'{}' is not a number", name.trim()));
             match name.trim() {
@@ -115,6 +122,105 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::collection::vec;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    /// Parts of which statements are made, and of which broken ones are.
+    const PARTS: [&str; 24] = [
+        "SELECT v FROM records WHERE k = '",
+        "INSERT INTO records (k, v) VALUES ('",
+        "7f",
+        "'",
+        "', '\\x9f') RETURNING v",
+        " /* ",
+        "/*",
+        " */",
+        "*/",
+        "id=9b",
+        "c=basket",
+        "d=480",
+        "d = 0",
+        "d=18446744073709551615",
+        "d=-1",
+        "after=99999999999999999999",
+        "after=18446744073709551615",
+        "k=",
+        ",",
+        "=",
+        ";",
+        "\0",
+        "\u{a0}\u{e9}\u{1f600}",
+        " ",
+    ];
+
+    /// What was read fits into its message, and the message with another wait says the same.
+    fn holds_together(message: &[u8], new: u64) {
+        let Ok(head) = Head::read(message) else { return };
+        let wait = std::str::from_utf8(&message[head.wait_at.clone()]).expect("text");
+        assert_eq!(wait.parse(), Ok(head.wait));
+        let parts = new_wait(message, &head.wait_at, new);
+        let written = rewritten(message, &head.wait_at, &parts).concat();
+        assert_eq!(written[1..5], (written.len() as u32 - 1).to_be_bytes());
+        let again = Head::read(&written).expect("a command");
+        assert_eq!((again.wait, again.id, again.key), (new, head.id, head.key));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn no_message_is_beyond_reading(bytes in vec(any::<u8>(), 0..200), new in 1..WAIT_MOST) {
+            holds_together(&bytes, new);
+            holds_together(&[b"Q\0\0\0\0", &bytes[..], b"\0"].concat(), new);
+        }
+
+        #[test]
+        fn parts_of_statements_in_any_order_are_read_or_refused(
+            places in vec(0..PARTS.len(), 0..30), new in 1..WAIT_MOST,
+        ) {
+            let text: String = places.iter().map(|place| PARTS[*place]).collect();
+            holds_together(&[b"Q\0\0\0\0", text.as_bytes(), b"\0"].concat(), new);
+        }
+
+        #[test]
+        fn a_statement_with_parts_put_in_is_read_or_refused(
+            put in vec((0..90_usize, 0..PARTS.len()), 0..4), new in 1..WAIT_MOST,
+        ) {
+            let mut text = format!("{}7f' /* id=9b,c=basket,d=480,cluster=2,after=12 */", PARTS[0]);
+            for (place, part) in put {
+                if text.is_char_boundary(place) {
+                    text.insert_str(place, PARTS[part]);
+                }
+            }
+            holds_together(&[b"Q\0\0\0\0", text.as_bytes(), b"\0"].concat(), new);
+        }
+    }
+
+    /// Guards against a comment whose names are each compared with all before it, and figures beyond all.
+    #[test]
+    fn what_is_beyond_all_is_refused() {
+        let read = |comment: &str| {
+            let text = format!("{}7f' /* {comment} */", PARTS[0]);
+            Head::read(&[b"Q\0\0\0\0", text.as_bytes(), b"\0"].concat()).map(|head| (head.wait, head.after))
+        };
+        let names = |count: usize| (0..count).map(|n| format!("n{n}=,")).collect::<String>();
+        for (comment, part) in [
+            (format!("{}id=1,c=x,d=5", names(61)), ""),
+            (format!("{}id=1,c=x,d=5", names(62)), "too many"),
+            ("id=1,c=x,d=18446744073709551615".into(), "'d'"),
+            ("id=1,c=x,d=18446744073709551616".into(), "'d'"),
+            ("id=1,c=x,d=0".into(), "'d'"),
+            ("id=1,c=x,d=-1".into(), "'d'"),
+            ("id=1,c=x,d=5,after=-1".into(), "'after'"),
+            ("id=1,c=x,d=5,id=1".into(), "'id'"),
+            ("id='1',c=x,d=5".into(), "'id'"),
+        ] {
+            let said = read(&comment).err().unwrap_or_default();
+            assert!(said.contains(part) && said.is_empty() == part.is_empty(), "{comment}: {said}");
+        }
+        assert_eq!(read("id=1,c=x,d=5,after=18446744073709551615"), Ok((5, Some(u64::MAX))));
+    }
 
     #[test]
     fn only_the_wait_is_rewritten_and_the_length_follows() {
