A SIGHUP while the process starts is heeded once it serves

Change: signals are taken over before the settings, the log and the configuration are read, and come up in the loop. SIGTERM then is the planned stop as well.

--- a/crates/cli/src/line.rs
+++ b/crates/cli/src/line.rs
@@ -6,7 +6,7 @@
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use tansyjunction_gateway::{Deployment, serve};
+use tansyjunction_gateway::{Deployment, serve, signals};
 use tansyjunction_settings::Program;
 
 use crate::{accord, account, council, demo, expect, fellows, handover, log, rig};
@@ -74,9 +74,10 @@
         Command::Demo(line) => demo::run(&line),
         Command::Handover(line) => handover::run(&line),
         Command::Council(line) => council::run(&line),
-        Command::Serve(source) => source.program().and_then(|program| {
+        Command::Serve(source) => signals().and_then(|signals| {
+            let program = source.program()?;
             log::start(&program.log)?;
-            serve(source.config, &program)
+            serve(signals, source.config, &program)
         }),
         Command::Check(source) => source.program().and_then(|_| {
             let deployment = Deployment::read(source.config.as_deref())?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use council::{found, refound};
 pub use run::deployment::Deployment;
-pub use run::serve::serve;
+pub use run::serve::{serve, signals};
