What the handover holds can be given less time, for a gateway that ends

Cause: a write that is held kept the client timeout that it was admitted with (handover/src/hold.rs deadline), while SIGTERM only shortened that of the command. A client that waits for longer than the process lasts was not answered. Test: where_the_host_ends_all_that_is_held_is_answered_before in tests/phases.rs; a session's order stays.

--- a/crates/handover/src/hold.rs
+++ b/crates/handover/src/hold.rs
@@ -102,6 +102,19 @@
         Some(write)
     }
 
+    /// No write may be kept for longer than until then.
+    pub fn hasten(&mut self, until: Micros, round: Micros) {
+        let mut before = std::mem::take(self);
+        // Each session's in the order in which they came.
+        let mut order: Vec<u64> = before.sessions.values().flatten().copied().collect();
+        order.extend(before.writes.values().filter(|write| write.session.is_none()).map(|write| write.id));
+        for id in order {
+            let Some(mut write) = before.writes.remove(&id) else { continue };
+            write.client_timeout = write.client_timeout.min(until);
+            self.add(write, round, false);
+        }
+    }
+
     /// The write with the least time left that may go, where `free` says that nothing of its session is out.
     pub fn next(&self, free: impl Fn(&Write) -> bool) -> Option<u64> {
         let ready = self.ready.iter().filter_map(|(_, id)| self.writes.get(id));
--- a/crates/handover/src/shard.rs
+++ b/crates/handover/src/shard.rs
@@ -181,6 +181,14 @@
         Admit::Hold
     }
 
+    /// Whatever is held has until then at most: its host ends.
+    pub fn hasten(&mut self, now: Micros, until: Micros) {
+        for shard in self.shards.values_mut() {
+            shard.held.hasten(until, self.figures.round);
+        }
+        self.next = self.next.min(now);
+    }
+
     /// When `due` is to be asked next.
     pub fn next(&self) -> Micros {
         self.next
--- a/crates/handover/tests/phases.rs
+++ b/crates/handover/tests/phases.rs
@@ -499,6 +499,48 @@
     assert_eq!(place(soon), 0);
 }
 
+/// Guards against held writes whose clients wait for longer than their gateway lasts: they would never be answered.
+#[test]
+fn where_the_host_ends_all_that_is_held_is_answered_before() {
+    let mut bench = Bench::calm();
+    bench.handover.pause(0).expect("a shard");
+    let mut add = |session: Option<usize>, left: Micros| {
+        let write = Write { session, client_timeout: bench.now + left * MS, ..bench.write() };
+        assert_eq!(bench.admit(&write), Admit::Hold);
+        write.id
+    };
+    let ids = [add(Some(5), 9_000), add(Some(5), 900), add(None, 9_000), add(None, 300)];
+    bench.handover.hasten(bench.now, bench.now + 1_000 * MS);
+    assert_eq!(bench.handover.status()[0].held, 4);
+    let mut given_up = Vec::new();
+    for _ in 0..10 {
+        bench.now += 100 * MS;
+        given_up.extend(bench.handover.due(bench.now).give_up.into_iter().map(|(id, _)| id));
+    }
+    given_up.sort_unstable();
+    assert_eq!(given_up, ids);
+    assert_eq!((bench.handover.status()[0].held, bench.handover.status()[0].held_bytes), (0, 0));
+    // In a session each goes after the one before it still, whatever time is left.
+    let mut bench = Bench::calm();
+    bench.handover.pause(0).expect("a shard");
+    let mut add = |left: Micros| {
+        let write = Write { session: Some(5), client_timeout: bench.now + left * MS, ..bench.write() };
+        assert_eq!(bench.admit(&write), Admit::Hold);
+        write.id
+    };
+    let order = [add(9_000), add(2_000), add(8_000)];
+    bench.handover.hasten(bench.now, bench.now + 3_000 * MS);
+    bench.handover.resume(bench.now, 0).expect("it was paused");
+    let mut released = Vec::new();
+    for _ in 0..200 {
+        for id in bench.after(MS) {
+            released.push(id);
+            bench.handover.answered(bench.now, 0, 1, id, Some(bench.now));
+        }
+    }
+    assert_eq!(released, order);
+}
+
 #[test]
 fn a_client_that_leaves_leaves_nothing_behind() {
     let mut bench = Bench::calm();
