Whatever waits at SIGTERM is answered, nobody keeps the process, and descriptors stay free

Each was seen on sockets by crates/cli/tests/ending.rs, run with these mends taken out: - Before the first list a client that asks by an empty query is kept without a limit, so a process without a list never ended (wire/client.rs keep, gateway/clients.rs part_with): 'left: [Ready, Ended]' after 20 s. It is told 57P03 now. - A connection to a server that was still being opened at SIGTERM kept its own limit (memory/servers.rs hasten passed over it): its command went unanswered for as long as 'dial_timeout', here 9 s. It is hastened as well; so are the holds. - Half a message, an answer left unread and a flood kept their limits beyond the process, a flood for good (gateway/due.rs, gateway/clients.rs mind): 'waited too long for the end of the gateway'. - accept failing for want of descriptors left the queue until another client came, and connections to servers that could not be had here were told as refused (run/listener.rs, gateway/servers.rs): with 64 granted and 1024 configured no client was served. The gateway now keeps eight free of what it finds, and the idle make way. - A new client made way for the next before its bytes were looked at (room_for_one): 'left: Ended, right: Ready'. - Sessions were kept under their whole names, 130 KB each if a client likes: '75148 KiB for 300 sessions'; and a number could be given on while a command referred to it (module test). Ruled out: commands that are held are asked about every 25 ms at the latest, so their shorter time is seen in time; answers and messages that crossed their time-out in a pause; ids used again; the full listen queue; CPU of a full queue.

--- /dev/null
+++ b/crates/cli/tests/ending.rs
@@ -0,0 +1,697 @@
+//! What is owed where something ends: signals at any moment, time-outs that cross an answer, descriptors that run out, and
+//! clients that flood. The program on sockets.
+
+#[path = "rig/agent.rs"]
+#[allow(dead_code)]
+mod agent;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use agent::Agent;
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply, START, message, row};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
+const MS: Duration = Duration::from_millis(1);
+/// The longest client timeout of these settings is 1.5 s, and SIGKILL comes 0.7 s after it. What is well past that is told
+/// from it on a busy machine too.
+const ENDS_WITHIN: Duration = Duration::from_millis(4_000);
+
+fn value() -> Does {
+    Does::Answers(b"\x9f\0\x03".to_vec())
+}
+
+fn served(reply: &Reply) -> bool {
+    matches!(reply, Reply::Value(_))
+}
+
+/// Asks until a value comes: on a busy machine a read may be refused, which does no harm.
+fn gets(client: &mut Client, statement: &str) {
+    until("a value", || {
+        let reply = client.ask(statement);
+        assert!(served(&reply) || reply.throttled(), "{reply:?}");
+        served(&reply)
+    });
+}
+
+struct Rig {
+    primary: Server,
+    replica: Server,
+}
+
+impl Rig {
+    fn new(script: Vec<Does>) -> Rig {
+        Rig { primary: Server::start(true, script.clone()), replica: Server::start(false, script) }
+    }
+
+    fn entries(&self, replica: &str) -> Vec<String> {
+        vec![entry("s1", self.primary.address, "up", true), entry("s2", self.replica.address, replica, false)]
+    }
+
+    fn agent(&self) -> Agent {
+        Agent::start(self.entries("up"))
+    }
+}
+
+/// A server that does `then` once it was sent a statement, and then holds the connection without a word.
+fn server(then: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let then = Arc::new(then);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let then = then.clone();
+            std::thread::spawn(move || -> Option<()> {
+                stream.read_exact(&mut [0; START.len()]).ok()?;
+                let ready = message(b'Z', b"I");
+                stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
+                loop {
+                    let mut head = [0; 5];
+                    stream.read_exact(&mut head).ok()?;
+                    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
+                    let mut body = vec![0; length as usize - 4];
+                    stream.read_exact(&mut body).ok()?;
+                    if body == b"SHOW health\0" {
+                        stream.write_all(&[row(b"x0=0"), ready.clone()].concat()).ok()?;
+                        continue;
+                    }
+                    then(&mut stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The one server of a group, a primary.
+fn alone(address: SocketAddr) -> Agent {
+    Agent::start(vec![entry("s1", address, "up", true)])
+}
+
+fn raw(gateway: &Gateway) -> TcpStream {
+    let stream = TcpStream::connect(gateway.address).expect("the gateway listens");
+    stream.set_read_timeout(Some(BOUND)).expect("a bound");
+    stream.set_nodelay(true).expect("no delay");
+    stream
+}
+
+/// A client that has sent its startup and a statement, and has read nothing yet.
+fn sent(gateway: &Gateway, statement: &str) -> Client {
+    let mut stream = raw(gateway);
+    let query = message(b'Q', format!("{statement}\0").as_bytes());
+    stream.write_all(&[START, &query].concat()).expect("written");
+    Client { stream }
+}
+
+/// Reads from a process's file in /proc what stands behind a name, in KiB.
+fn memory(gateway: &Gateway) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.process())).expect("its status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
+    line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("a number")
+}
+
+/// Processor time that a process has used, in ticks of a hundredth of a second.
+fn ticks(gateway: &Gateway) -> usize {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", gateway.process())).expect("its state");
+    let behind = stat.rsplit_once(") ").expect("its name").1;
+    behind.split(' ').skip(11).take(2).map(|ticks| ticks.parse::<usize>().expect("a number")).sum()
+}
+
+// --- Signals ---
+
+/// Guards against SIGHUP ending a process that has not come to heed it: here its configuration is still on its way.
+#[test]
+fn sighup_while_it_starts_does_not_end_it() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    // The usual configuration, taken from a process of its own.
+    let mut config = String::new();
+    let usual = Gateway::launch_as(PROGRAM, agent.address, 64, None, |usual| {
+        config = usual.clone();
+        usual
+    });
+    let address = usual.address;
+    drop(usual);
+    let path = std::env::temp_dir().join(format!("tansyjunction-fifo-{}", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
+    let started = Command::new(PROGRAM).args(["serve", "--config"]).arg(&path).stderr(Stdio::null()).spawn();
+    let mut child = started.expect("the program starts");
+    // It opens once the other side reads.
+    let mut writes = std::fs::File::create(&path).expect("the configuration is asked for");
+    let process = child.id();
+    let signal = |name: &str| {
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {process}")).status();
+        assert!(sent.expect("a shell").success());
+    };
+    signal("HUP");
+    writes.write_all(config.as_bytes()).expect("written");
+    drop(writes);
+    until("the listener", || {
+        assert!(child.try_wait().expect("its state").is_none(), "SIGHUP has ended it");
+        TcpStream::connect(address).is_ok()
+    });
+    // It has the configuration read anew.
+    std::fs::write(&path, &config).expect("the configuration is asked for again");
+    let mut client = Client::connect(address, BOUND).expect("the gateway listens");
+    assert_eq!(client.ask(""), Reply::Empty);
+    gets(&mut client, &read(1));
+    signal("TERM");
+    assert!(child.wait().expect("its end").success());
+    let _ = std::fs::remove_file(&path);
+}
+
+/// Guards against what was taken before there was a list, and outlasts the process: with two signals at once in any order.
+#[test]
+fn a_signal_before_the_first_list_leaves_nothing_unanswered() {
+    std::thread::scope(|scope| {
+        for signals in [&["TERM"][..], &["INT"], &["TERM", "HUP"], &["HUP", "TERM"], &["TERM", "TERM"]] {
+            scope.spawn(move || {
+                let rig = Rig::new(vec![value()]);
+                let agent = rig.agent();
+                agent.says_nothing(true);
+                let mut gateway = Gateway::launch_as(PROGRAM, agent.address, 64, None, |usual| {
+                    // Writes are worth an answer after their response target too, and so are held for longer.
+                    usual.replace(r#""worth":1.0"#, r#""worth":1.0,"late_worth":0.5"#)
+                });
+                until("the listener", || TcpStream::connect(gateway.address).is_ok());
+                let mut asks = sent(&gateway, "");
+                let mut reads = sent(&gateway, &read(1).replace("d=1500", "d=20000"));
+                let mut writes = sent(&gateway, &write(2).replace("d=1500", "d=20000"));
+                let began = Instant::now();
+                for signal in signals {
+                    gateway.signal(signal);
+                }
+                for client in [&mut reads, &mut writes] {
+                    assert_eq!(client.reply(), Reply::Ready, "{signals:?}");
+                    let reply = client.reply();
+                    assert!(reply.throttled(), "{signals:?}: {reply:?}");
+                    assert_eq!(client.reply(), Reply::Ended, "{signals:?}");
+                }
+                // It never served, and says so.
+                let said = [asks.reply(), asks.reply()];
+                assert_eq!(said, [Reply::Ready, Reply::Error("57P03".into(), None)], "{signals:?}");
+                assert!(gateway.ended(), "{signals:?}");
+                assert!(began.elapsed() < ENDS_WITHIN, "{signals:?}: {:?}", began.elapsed());
+                assert!(rig.primary.asked().is_empty() && rig.replica.asked().is_empty());
+            });
+        }
+    });
+}
+
+/// Guards against commands whose clients wait for longer than the process lasts, wherever they are as SIGTERM comes: held
+/// without a primary, at a server that is still being opened, half answered.
+#[test]
+fn after_sigterm_all_that_waits_is_answered_wherever_it_is() {
+    let follows = |stream: &mut TcpStream| {
+        let missed = message(b'E', b"SERROR\0C25006\0Mno\0\0");
+        let _ = stream.write_all(&[missed, message(b'Z', b"I")].concat());
+    };
+    let half_answers = |stream: &mut TcpStream| {
+        let row = row(b"a value that never comes in whole");
+        let _ = stream.write_all(&row[..row.len() - 20]);
+    };
+    let mute = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let opens = mute.local_addr().expect("an address");
+    // Where it is, the server, whether it has got the statement, and what the client is told.
+    std::thread::scope(|scope| {
+        for (place, address, said) in [
+            ("held", server(follows), "53300"),
+            ("at a server that is being opened", opens, "53300"),
+            ("half answered", server(half_answers), "58000"),
+        ] {
+            scope.spawn(move || {
+                let agent = alone(address);
+                let mut gateway = Gateway::launch_as(PROGRAM, agent.address, 64, None, |usual| {
+                    usual
+                        .replace(r#""worth":1.0"#, r#""worth":1.0,"late_worth":0.5"#)
+                        .replace(r#""dial_timeout":250000000"#, r#""dial_timeout":9000000000"#)
+                });
+                gateway.wait_ready();
+                let mut client = gateway.client();
+                client.send(&write(1).replace("d=1500", "d=20000"));
+                // It is on its way, or was sent back and is held.
+                std::thread::sleep(300 * MS);
+                let began = Instant::now();
+                gateway.signal("TERM");
+                gateway.signal("HUP");
+                assert_eq!(client.reply(), Reply::Error(said.into(), client_advice(said)), "{place}");
+                assert_eq!(client.reply(), Reply::Ended, "{place}");
+                let answered = began.elapsed();
+                assert!(answered > 1_000 * MS && answered < ENDS_WITHIN, "{place}: {answered:?}");
+                assert!(gateway.ended(), "{place}");
+            });
+        }
+    });
+    drop(mute);
+}
+
+/// The advice that comes with a refusal in these settings: half the response target.
+fn client_advice(code: &str) -> Option<String> {
+    (code == "53300").then(|| "200".into())
+}
+
+/// Guards against clients that keep a process which is to end: they send on and on, never read, never finish a message, or
+/// never end their side.
+#[test]
+fn nobody_keeps_a_process_that_is_to_end() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let mut gateway = Gateway::with_sockets(PROGRAM, agent.address, 256);
+    let statement = |id: u32| message(b'Q', format!("{}\0", read(id)).as_bytes());
+    let floods = [message(b'S', b"").repeat(5_000), statement(1).repeat(100)].map(|bytes| {
+        let flood = gateway.client();
+        let (mut reading, mut writing) = (flood.stream.try_clone().expect("a clone"), flood.stream);
+        let _ = reading.set_read_timeout(None);
+        std::thread::spawn(move || std::io::copy(&mut reading, &mut std::io::sink()));
+        std::thread::spawn(move || while writing.write_all(&bytes).is_ok() {})
+    });
+    // Its answers fill the way back.
+    let never_reads = gateway.client();
+    let mut writing = never_reads.stream.try_clone().expect("a clone");
+    let ignores = std::thread::spawn(move || {
+        let errors = message(b'Q', b"no statement\0").repeat(1_000);
+        while writing.write_all(&errors).is_ok() {}
+    });
+    let (stays, mut half) = (gateway.client(), gateway.client());
+    std::thread::sleep(200 * MS);
+    gateway.signal("TERM");
+    let began = Instant::now();
+    // A message that begins just before the end of service.
+    std::thread::sleep(800 * MS);
+    let _ = half.stream.write_all(&statement(2)[..50]);
+    assert!(gateway.ended());
+    assert!(began.elapsed() < ENDS_WITHIN, "{:?}", began.elapsed());
+    drop((stays, half, never_reads));
+    for flood in floods {
+        let _ = flood.join();
+    }
+    let _ = ignores.join();
+}
+
+/// Guards against a longer listen queue than is taken in two turns, which is reset as the listener is closed.
+#[test]
+fn a_full_listen_queue_is_served_before_the_listener_is_closed() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let mut gateway = Gateway::with_sockets(PROGRAM, agent.address, 1_024);
+    gateway.signal("TERM");
+    std::thread::sleep(300 * MS);
+    gateway.signal("STOP");
+    std::thread::sleep(100 * MS);
+    let mut asking = Vec::new();
+    for id in 0..400 {
+        let address = gateway.address;
+        let Ok(mut stream) = TcpStream::connect_timeout(&address, 100 * MS) else { break };
+        stream.set_read_timeout(Some(BOUND)).expect("a bound");
+        let query = message(b'Q', format!("{}\0", read(1_000 + id)).as_bytes());
+        stream.write_all(&[START, &query].concat()).expect("written");
+        asking.push(Client { stream });
+    }
+    // By now the queue was to be closed.
+    std::thread::sleep(900 * MS);
+    gateway.signal("CONT");
+    let count = asking.len();
+    for (place, client) in asking.iter_mut().enumerate() {
+        assert_eq!(client.reply(), Reply::Ready, "{place} of {count}");
+        let reply = client.reply();
+        assert!(served(&reply) || reply.throttled(), "{place} of {count}: {reply:?}");
+    }
+    assert!(count > 100, "{count} fit into the queue");
+    assert!(gateway.ended());
+}
+
+// --- Time-outs ---
+
+/// Guards against a pause of the whole process that is taken for silence: what came in meanwhile is read before anything is
+/// given up.
+#[test]
+fn after_a_pause_what_came_in_goes_before_its_time_out() {
+    let late = vec![Does::AnswersLate(b"late".to_vec(), 1_200 * MS)];
+    let rig = Rig::new(late);
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    let (mut waits, mut half, mut opens) = (gateway.client(), gateway.client(), raw(&gateway));
+    let query = message(b'Q', format!("{}\0", read(2)).as_bytes());
+    let (first, second) = query.split_at(60);
+    half.stream.write_all(first).expect("written");
+    opens.write_all(&START[..9]).expect("written");
+    std::thread::sleep(1_200 * MS);
+    waits.send(&write(1));
+    std::thread::sleep(700 * MS);
+    // Half a message has 2.5 s, and the write 1.5 s; both come to their ends in the pause, after what they wait for.
+    gateway.signal("STOP");
+    half.stream.write_all(second).expect("written");
+    opens.write_all(&START[9..]).expect("written");
+    std::thread::sleep(1_500 * MS);
+    gateway.signal("CONT");
+    assert_eq!(waits.reply(), Reply::Value(b"late".to_vec()));
+    assert_eq!(half.reply(), Reply::Value(b"late".to_vec()));
+    let mut opens = Client { stream: opens };
+    assert_eq!([opens.reply(), opens.ask("")], [Reply::Ready, Reply::Empty]);
+}
+
+/// Guards against an `id` that is held on to after its answer: a client may use it at once again.
+#[test]
+fn an_id_is_free_once_it_is_answered() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    let (mut one, mut another) = (gateway.client(), gateway.client());
+    for _ in 0..100 {
+        gets(&mut one, &read(7));
+        gets(&mut another, &read(7));
+    }
+    // The same where the last one was given up, and the attempt for it may still be out.
+    let slow = Rig::new(vec![Does::AnswersLate(b"late".to_vec(), 400 * MS)]);
+    let agent = slow.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    let mut client = gateway.client();
+    for _ in 0..3 {
+        let reply = client.ask(&read(8).replace("d=1500", "d=100"));
+        assert!(reply.throttled(), "{reply:?}");
+    }
+}
+
+// --- Descriptors ---
+
+/// Guards against a queue that can't be taken and has the loop spin, and against requests dropped for it.
+#[test]
+fn a_queue_that_finds_no_room_costs_nothing_and_is_served_later() {
+    let rig = Rig::new(vec![value(), Does::AnswersLate(b"late".to_vec(), 2_500 * MS)]);
+    let agent = rig.agent();
+    let gateway = Gateway::with_sockets(PROGRAM, agent.address, 64);
+    let mut first = gateway.client();
+    gets(&mut first, &read(50));
+    gets(&mut first, &write(51));
+    drop(first);
+    let long = |statement: String| statement.replace("d=1500", "d=9000");
+    // Each of them holds two descriptors of twenty-four.
+    let mut busy: Vec<Client> = (0..12)
+        .map(|id| {
+            let mut client = gateway.client();
+            client.send(&long(if id % 2 == 0 { read(id) } else { write(id) }));
+            client
+        })
+        .collect();
+    until("all at their servers", || rig.primary.asked().len() + rig.replica.asked().len() >= 14);
+    let mut waiting: Vec<Client> = (100..130).map(|id| sent(&gateway, &long(read(id)))).collect();
+    std::thread::sleep(300 * MS);
+    let before = ticks(&gateway);
+    std::thread::sleep(1_000 * MS);
+    let used = ticks(&gateway) - before;
+    assert!(used < 30, "{used} hundredths of a second of one");
+    for client in &mut busy {
+        assert_eq!(client.reply(), Reply::Value(b"late".to_vec()));
+    }
+    for client in &mut waiting {
+        assert_eq!(client.reply(), Reply::Ready);
+        let reply = client.reply();
+        assert!(served(&reply) || reply.throttled(), "{reply:?}");
+    }
+}
+
+/// Guards against a machine that grants fewer descriptors than the configuration: clients that rest would hold all, and
+/// neither servers nor discovery be reached.
+#[test]
+fn where_the_machine_grants_fewer_descriptors_some_stay_free() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::launch_as(PROGRAM, agent.address, 1_024, Some(64), |usual| usual);
+    gateway.wait_ready();
+    let mut resting: Vec<TcpStream> = Vec::new();
+    for _ in 0..100 {
+        let mut stream = raw(&gateway);
+        stream.write_all(START).expect("written");
+        resting.push(stream);
+    }
+    let mut client = gateway.client();
+    gets(&mut client, &read(1));
+    // Discovery's return is heard while they go on holding on.
+    agent.says_nothing(true);
+    std::thread::sleep(3_500 * MS);
+    for _ in 0..100 {
+        let mut stream = raw(&gateway);
+        let _ = stream.write_all(START);
+        resting.push(stream);
+    }
+    agent.has(rig.entries("draining"));
+    agent.says_nothing(false);
+    let since = Instant::now();
+    let mut id = 100;
+    until("reads at the primary alone", || {
+        let before = rig.replica.asked().len();
+        for _ in 0..10 {
+            id += 1;
+            gets(&mut gateway.client(), &read(id));
+        }
+        rig.replica.asked().len() == before
+    });
+    assert!(since.elapsed() < 6_000 * MS, "{:?}", since.elapsed());
+    let before = ticks(&gateway);
+    std::thread::sleep(1_000 * MS);
+    let used = ticks(&gateway) - before;
+    assert!(used < 30, "{used} hundredths of a second of one");
+}
+
+/// Guards against idle clients that hold all descriptors while discovery is down, so that its return goes unheard.
+#[test]
+fn discovery_is_heard_again_however_many_clients_rest() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.says_nothing(true);
+    let mut resting: Vec<TcpStream> = Vec::new();
+    for turn in 0..40 {
+        for _ in 0..5 {
+            let mut stream = raw(&gateway);
+            let _ = stream.write_all(START);
+            resting.push(stream);
+        }
+        gets(&mut gateway.client(), &read(turn));
+        std::thread::sleep(100 * MS);
+    }
+    agent.has(rig.entries("draining"));
+    agent.says_nothing(false);
+    let since = Instant::now();
+    let mut id = 100;
+    until("reads at the primary alone", || {
+        let before = rig.replica.asked().len();
+        for _ in 0..10 {
+            id += 1;
+            gets(&mut gateway.client(), &read(id));
+        }
+        rig.replica.asked().len() == before
+    });
+    assert!(since.elapsed() < 6_000 * MS, "{:?}", since.elapsed());
+}
+
+// --- Floods and bad clients ---
+
+/// Guards against a comment of thousands of names, each of which was compared with all before it: a message took a second.
+#[test]
+fn a_statement_costs_no_more_than_its_length() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    let names: String = (0..17_000).map(|n| format!("n{n:x}=,")).collect();
+    let long = message(b'Q', format!("SELECT v FROM records WHERE k = '7f' /* {names}id=1 */\0").as_bytes());
+    let mut client = gateway.client();
+    gets(&mut client, &read(0));
+    let before = ticks(&gateway);
+    let mut flood = gateway.client();
+    for _ in 0..20 {
+        flood.stream.write_all(&long).expect("written");
+        assert_eq!(flood.reply(), Reply::Error("42601".into(), None));
+    }
+    // Processor time of its own, whatever else the machine does: 20 such took 20 s and more.
+    let used = ticks(&gateway) - before;
+    assert!(used < 200, "{used} hundredths of a second for 20 messages");
+    gets(&mut client, &read(1));
+}
+
+/// Guards against sessions' names, as long as their clients like, that fill the memory.
+#[test]
+fn long_names_of_sessions_do_not_fill_the_memory() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::launch_as(PROGRAM, agent.address, 64, None, |usual| {
+        usual.replace(r#""needs_by_class":["eventual""#, r#""needs_by_class":["causal""#)
+    });
+    gateway.wait_ready();
+    let mut client = gateway.client();
+    let ask = |client: &mut Client, id: u32| {
+        let key = format!("{id:08x}").repeat(16_000);
+        gets(client, &read(id).replace("7f3a", &key))
+    };
+    for id in 0..20 {
+        ask(&mut client, id);
+    }
+    let before = memory(&gateway);
+    for id in 20..320 {
+        ask(&mut client, id);
+    }
+    let grown = memory(&gateway).saturating_sub(before);
+    assert!(grown < 20 * 1_024, "{grown} KiB for 300 sessions");
+}
+
+/// Guards against all that bad clients do at once, for those beside them: much at once and gone, endless messages, lengths
+/// that make no sense, half a startup, a byte now and then, answers never read, encryption asked for on and on, noise.
+#[test]
+fn bad_clients_cost_the_others_nothing() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::with_sockets(PROGRAM, agent.address, 256);
+    for id in 0..200 {
+        gets(&mut gateway.client(), &read(id));
+    }
+    let before = memory(&gateway);
+    let (address, over) = (gateway.address, Arc::new(AtomicBool::new(false)));
+    let endless = [&b"Q\x03\xff\xff\xff"[..], &vec![b'x'; 1 << 20]].concat();
+    let kinds: Vec<(Vec<u8>, usize)> = vec![
+        // What is sent first and then again and again, and how often before it goes.
+        ([START, &message(b'Q', &vec![b'x'; 100_000]).repeat(10)].concat(), 10),
+        ([START, &endless].concat(), 60),
+        ([START, b"Q\0\0\0\0"].concat(), 1),
+        ([START, b"Q\xff\xff\xff\xff"].concat(), 1),
+        (START[..17].to_vec(), 1),
+        ([START, &message(b'S', b"").repeat(50_000)].concat(), 4),
+        ([START, &message(b'P', b"x\0y\0\0\0").repeat(50_000)].concat(), 4),
+        (b"\0\0\0\x08\x04\xd2\x16\x2f".repeat(10_000), 10),
+        (b"GET / HTTP/1.1\r\n\r\n".repeat(1_000), 2),
+    ];
+    let mut bad = Vec::new();
+    for (bytes, times) in kinds {
+        for reads in [true, false] {
+            let (bytes, over) = (bytes.clone(), over.clone());
+            bad.push(std::thread::spawn(move || {
+                while !over.load(Ordering::SeqCst) {
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.set_write_timeout(Some(200 * MS));
+                    if let Some(mut reading) = stream.try_clone().ok().filter(|_| reads) {
+                        std::thread::spawn(move || std::io::copy(&mut reading, &mut std::io::sink()));
+                    }
+                    for _ in 0..times {
+                        if stream.write_all(&bytes).is_err() {
+                            break;
+                        }
+                    }
+                    std::thread::sleep(20 * MS);
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                }
+            }));
+        }
+    }
+    // One byte at a time.
+    let slowly = over.clone();
+    bad.push(std::thread::spawn(move || {
+        while !slowly.load(Ordering::SeqCst) {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            for byte in START.iter().cycle() {
+                if slowly.load(Ordering::SeqCst) || stream.write_all(&[*byte]).is_err() {
+                    break;
+                }
+                std::thread::sleep(200 * MS);
+            }
+        }
+    }));
+    let (mut client, began, mut asked, mut most) = (gateway.client(), Instant::now(), 1_000, 0);
+    while began.elapsed() < 3_000 * MS {
+        asked += 1;
+        gets(&mut client, &read(asked));
+        most = most.max(memory(&gateway));
+    }
+    // Discovery is heard beside them.
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    until("reads at the primary alone", || {
+        let before = rig.replica.asked().len();
+        for _ in 0..10 {
+            asked += 1;
+            gets(&mut client, &read(asked));
+        }
+        rig.replica.asked().len() == before
+    });
+    assert!(since.elapsed() < 2_000 * MS, "{:?}", since.elapsed());
+    over.store(true, Ordering::SeqCst);
+    for thread in bad {
+        let _ = thread.join();
+    }
+    assert!(asked > 1_030, "{asked}");
+    assert!(most < before + 48 * 1_024, "{before} KiB before, {most} KiB then");
+}
+
+/// Whatever bytes come, the gateway goes on serving. The bytes are drawn from seeds: noise, and what looks like messages.
+#[test]
+fn no_bytes_end_the_gateway() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::with_sockets(PROGRAM, agent.address, 256);
+    let statement = format!("{}\0", read(1));
+    for seed in 0..300_u64 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut bytes = Vec::new();
+        if rng.u8(..4) > 0 {
+            bytes.extend_from_slice(START);
+        }
+        for _ in 0..rng.usize(1..6) {
+            match rng.u8(..5) {
+                0 => bytes.extend((0..rng.usize(..300)).map(|_| rng.u8(..))),
+                1 => {
+                    let body: Vec<u8> = (0..rng.usize(..100)).map(|_| rng.u8(..)).collect();
+                    bytes.extend(message(b"QPBDESCHFXdcfp?"[rng.usize(..15)], &body));
+                }
+                _ => {
+                    let mut changed = statement.clone().into_bytes();
+                    for _ in 0..rng.usize(..4) {
+                        let (place, count) = (rng.usize(..changed.len()), rng.usize(..6));
+                        let until = (place + count).min(changed.len());
+                        let put: Vec<u8> = (0..rng.usize(..4))
+                            .map(|_| b"'/*=,;\0 \xffd\xc3\xa9-9"[rng.usize(..14)])
+                            .collect();
+                        changed.splice(place..until, put);
+                    }
+                    bytes.extend(message(b'Q', &changed));
+                }
+            }
+        }
+        let mut stream = raw(&gateway);
+        let _ = stream.write_all(&bytes);
+        if rng.bool() {
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+        }
+        if seed % 10 == 0 {
+            let reply = gateway.client().ask(&read(1_000 + seed as u32));
+            assert!(served(&reply) || reply.throttled(), "seed {seed}: {reply:?}");
+        }
+    }
+    until("a value", || served(&gateway.client().ask(&read(9_999))));
+}
+
+// --- Starts ---
+
+/// An operator reads which key is wrong.
+#[test]
+fn a_listen_address_in_use_is_named_by_its_key() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    let mut config = String::new();
+    let other = Gateway::launch_as(PROGRAM, agent.address, 64, None, |usual| {
+        config = usual.clone();
+        usual
+    });
+    let config = config.replace(&other.address.to_string(), &gateway.address.to_string());
+    let path = std::env::temp_dir().join(format!("tansyjunction-in-use-{}.json", std::process::id()));
+    std::fs::write(&path, config).expect("a file");
+    let output = Command::new(PROGRAM).args(["serve", "--config"]).arg(&path).output().expect("it starts");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success(), "{said}");
+    assert!(said.contains("'listen'") && said.contains(&gateway.address.to_string()), "{said}");
+    let _ = std::fs::remove_file(&path);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,6 @@
 mod servers;
 mod steps;
 
-use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -34,6 +33,7 @@
 use crate::memory::clients::Clients;
 use crate::memory::servers::Servers;
 use crate::memory::sessions::Sessions;
+use crate::memory::turns::Turns;
 use crate::run::clock::Clock;
 use crate::run::deployment::Deployment;
 use crate::run::listener::Listener;
@@ -68,7 +68,7 @@
     lacking: Vec<Lacking>,
     due: DueTimes<Due>,
     /// Clients whose next message may be taken.
-    resume: VecDeque<u64>,
+    resume: Turns,
     /// When the router is to be asked what is due.
     router_due: Micros,
     /// What is held while a primary is replaced; None: nothing is.
@@ -122,7 +122,7 @@
             steps: steps::wanted(),
             lacking: Vec::new(),
             due: DueTimes::default(),
-            resume: VecDeque::new(),
+            resume: Turns::default(),
             router_due: 0,
             holds: Holds::new(&deployment, program),
             company: None,
@@ -147,6 +147,17 @@
         self.last
     }
 
+    /// Starts to open a connection, for which another one makes way if it has to.
+    fn connect(&mut self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let opened = connect(address);
+        if !opened.as_ref().is_err_and(is_no_descriptor) {
+            return opened;
+        }
+        self.found_fewer();
+        self.room_for_one(false);
+        connect(address)
+    }
+
     /// Has the loop call back when something happens on a socket, until its token is removed.
     fn watch(
         &self,
@@ -164,6 +175,11 @@
     }
 }
 
+/// Whether a connection could not be had since this process holds as many descriptors as the machine grants it.
+fn is_no_descriptor(error: &std::io::Error) -> bool {
+    error.raw_os_error() == Some(TOO_MANY_OPEN)
+}
+
 /// Starts to open a connection; it is writable once it is there.
 fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
     use socket2::{Domain, Protocol, Socket, Type};
@@ -180,3 +196,5 @@
 
 /// EINPROGRESS on Linux.
 const IN_PROGRESS: i32 = 115;
+/// EMFILE.
+const TOO_MANY_OPEN: i32 = 24;
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -5,7 +5,7 @@
 use tansyjunction_hosting::at_millis;
 use tracing::warn;
 
-use super::{Due, Gateway};
+use super::{Due, Gateway, is_no_descriptor};
 use crate::wire::client::{Client, InHand, Next};
 use crate::wire::frames;
 use crate::wire::statement::Head;
@@ -13,6 +13,8 @@
 /// Descriptors kept for what is neither a client's nor a server's: the log, the loop, the listener, signals, peers,
 /// discovery, and a few that the machine may still be closing.
 const RESERVE: usize = 40;
+/// What is kept of them where the machine grants fewer than the configuration does, and all are taken.
+const SPARE: usize = 8;
 /// A client that had no command in hand for so long holds its connection for later, if at all.
 const CLIENT_RESTS: Micros = 2_000_000;
 /// A client that has not finished its startup after so long is hardly about to.
@@ -23,6 +25,8 @@
 const CLIENT_PAUSES: Micros = 100_000;
 /// How long any connection may linger where the whole process is to end.
 const LINGER_LEAST: Micros = 50_000;
+/// So long after all must be answered, a client that still sends is heard no more.
+const ENDS_AFTER: Micros = 100_000;
 /// Messages of one client, and new clients, that are taken before the others have their turn.
 const TURN: usize = 8;
 const TURN_NEW: usize = 64;
@@ -43,7 +47,17 @@
             if self.queue_waits || self.queue_more {
                 return;
             }
-            let Some(stream) = self.listener.as_ref().and_then(|listener| listener.next()) else { return };
+            let stream = match self.listener.as_ref().map(|listener| listener.next()) {
+                Some(Ok(Some(stream))) => stream,
+                Some(Err(error)) => {
+                    warn!(target: "limits", "accept: {error}");
+                    // The next turn goes on where others make way then; else whichever finds room.
+                    self.queue_more = is_no_descriptor(&error) && self.found_fewer();
+                    self.queue_waits = !self.queue_more;
+                    return;
+                }
+                _ => return,
+            };
             let key = self.number();
             match self.watch(stream, move |gateway, readiness| gateway.client_ready(key, readiness)) {
                 Ok((stream, token)) => {
@@ -55,6 +69,19 @@
         }
     }
 
+    /// The machine grants fewer descriptors than the configuration does: from now on some stay free. Guards against clients that
+    /// fill them, and leave none to discovery and to servers.
+    /// False: it is so already.
+    pub(super) fn found_fewer(&mut self) -> bool {
+        let most = (self.clients.count() + self.servers.count()).saturating_sub(SPARE).max(1);
+        let fewer = most + RESERVE < self.deployment.sockets;
+        if fewer {
+            warn!(target: "limits", "fewer descriptors than 'limits.sockets': {most} connections from now on");
+            self.deployment.sockets = most + RESERVE;
+        }
+        fewer
+    }
+
     /// Whether one more descriptor may be held, after an idle connection made way if it has to. Clients that rest come
     /// first: some keep what they will never use again, while a server's connection is dear to open. Guards against
     /// clients without end that leave none to the servers, whose share is half.
@@ -64,11 +91,13 @@
             let now = self.clock.now();
             let line = self.servers.idlest().filter(|_| !for_client || self.servers.count() > most / 2);
             let silent = self.clients.most_silent(now - CLIENT_OPENS);
+            // Guards against one client that makes way for the next before what it sent was looked at.
+            let came = if for_client { now - CLIENT_PAUSES } else { now };
             if let Some(key) = silent.or_else(|| self.clients.idlest(now - CLIENT_RESTS)) {
                 self.close_client(key);
             } else if let Some(key) = line {
                 self.close_line(key);
-            } else if let Some(key) = self.clients.idlest(now).or_else(|| self.clients.most_silent(now)) {
+            } else if let Some(key) = self.clients.idlest(now).or_else(|| self.clients.most_silent(came)) {
                 self.close_client(key);
             } else {
                 return false;
@@ -111,8 +140,13 @@
     /// the others waiting.
     pub(super) fn serve_client(&mut self, key: u64) {
         let (takes, ready) = (self.takes, self.ready);
+        let over = self.stops.is_some_and(|stops| stops + ENDS_AFTER < self.clock.now());
         for turn in 0.. {
             let Some(client) = self.clients.get(key) else { break };
+            // Guards against a client that sends without end and keeps a process that is to end.
+            if over && client.in_hand.is_none() && !client.is_closing() {
+                client.close_gently();
+            }
             if turn == TURN {
                 self.resume.push_back(key);
                 break;
@@ -181,15 +215,17 @@
                 return;
             }
         };
-        let session =
-            self.deployment.command_groups[command_group].session.then(|| self.sessions.of(head.key, now));
+        let client_timeout = (now + at_millis(head.wait)).min(self.stops.unwrap_or(Micros::MAX));
+        let until = client_timeout.min(now + self.deployment.longest_wait);
+        let session = self.deployment.command_groups[command_group].session;
+        let session = session.then(|| self.sessions.of(head.key, now, until));
         let taken = Command {
             command_group,
             // A group that no list has named has no members; its number must not be kept for whoever asks.
             group: self.groups.find(head.group).unwrap_or(usize::MAX),
             session,
             arrived: now,
-            client_timeout: (now + at_millis(head.wait)).min(self.stops.unwrap_or(Micros::MAX)),
+            client_timeout,
             // A commit of this very moment still counts as one.
             written_ago: head.after.map(|after| now.saturating_sub(at_millis(after)).max(1)),
             // Clients here do not say.
@@ -206,7 +242,15 @@
     /// Once the listener is closed, a connection without a command in hand is closed too; what is on its way in gets
     /// a moment more.
     pub(super) fn part_with(&mut self, key: u64) {
-        let Some(client) = self.clients.get(key).filter(|c| c.is_idle() && !c.is_closing()) else { return };
+        let Some(client) = self.clients.get(key).filter(|client| !client.is_closing()) else { return };
+        // Guards against a client that asks whether this process serves, which waits for a list, and keeps it for good.
+        if client.is_kept() && !self.ready {
+            client.refuse("57P03", "this gateway ends");
+            return;
+        }
+        if !client.is_idle() {
+            return;
+        }
         // Guards against a command that lies unread on a connection that is ended: it came in time to be taken.
         if !client.read() {
             self.close_client(key);
--- a/crates/gateway/src/gateway/discovery.rs
+++ b/crates/gateway/src/gateway/discovery.rs
@@ -8,7 +8,7 @@
 use tansyjunction_hosting::{List, Reminder};
 use tracing::warn;
 
-use super::{Due, Gateway, connect};
+use super::{Due, Gateway};
 use crate::wire::directory::Answer;
 
 /// How long discovery, which listens on this machine, may take to begin with the whole list. What was connected during an
@@ -42,7 +42,7 @@
         let pause = self.watch.pause;
         self.watch.pause = (pause * 2).min(WATCH_AGAIN_MOST);
         let address = self.deployment.discovery;
-        match connect(address).and_then(|stream| self.watch(stream, Gateway::discovery_ready)) {
+        match self.connect(address).and_then(|stream| self.watch(stream, Gateway::discovery_ready)) {
             Ok((stream, token)) => {
                 let answer = Answer::new(address, self.watch.version);
                 self.watch.connection = Some((stream, token, answer));
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -132,9 +132,14 @@
             Due::Listener => {
                 self.accept();
                 self.listener = None;
+                let stops = self.stops.unwrap_or(at);
                 for key in self.clients.keys() {
                     self.part_with(key);
                     self.mind(key);
+                    // Guards against half a message, or an answer left unread, that began before and has longer than this process.
+                    if let Some(client) = self.clients.get(key) {
+                        client.limit.hasten(&mut self.due, Due::Client(key), stops);
+                    }
                 }
             }
         }
@@ -154,8 +159,13 @@
             // Guards against commands in hand whose clients wait for longer than this process lasts: they get an
             // answer too, and may ask another gateway.
             self.commands.hasten(stops);
+            if let Some(holds) = &mut self.holds {
+                holds.handover.hasten(now, stops);
+            }
             for key in self.servers.hasten(stops) {
-                self.line_due(key, stops);
+                if let Some(line) = self.servers.get(key) {
+                    line.due.hasten(&mut self.due, Due::Line(key), stops);
+                }
             }
             self.due.add(now + most.saturating_sub(TAKES_NONE).max(LISTEN_ON), Due::Listener);
         }
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -4,7 +4,7 @@
 use tansyjunction::interface::*;
 use tracing::warn;
 
-use super::{Due, Gateway, connect};
+use super::{Due, Gateway, is_no_descriptor};
 use crate::wire::frames;
 use crate::wire::server::{Heard, Job, Line, Phase, Said};
 use crate::wire::statement::{new_wait, rewritten};
@@ -33,11 +33,12 @@
             return Err(Ending::Unsent);
         }
         let key = self.number();
-        let stream = match connect(address) {
+        let stream = match self.connect(address) {
             Ok(stream) => stream,
             Err(error) => {
                 warn!(target: "servers", "{}: {error}", self.servers_named.name(server));
-                return Err(Ending::Unconnected);
+                // Guards against servers taken for ones that refuse where it is this process that has no descriptor left.
+                return Err(if is_no_descriptor(&error) { Ending::Unsent } else { Ending::Unconnected });
             }
         };
         let watched = self.watch(stream, move |gateway, readiness| gateway.line_ready(key, readiness));
--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -3,3 +3,4 @@
 pub mod clients;
 pub mod servers;
 pub mod sessions;
+pub mod turns;
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -5,7 +5,7 @@
 
 use tansyjunction::interface::Micros;
 
-use crate::wire::server::{Job, Line, Phase};
+use crate::wire::server::{Job, Line};
 
 #[derive(Default)]
 struct Server {
@@ -122,17 +122,12 @@
 
     /// No job may take longer than until then; tells which connections are at work on one that might have.
     pub fn hasten(&mut self, until: Micros) -> Vec<u64> {
-        let mut hastened = Vec::new();
-        for (key, line) in
-            self.lines.iter_mut().filter(|(_, line)| line.job.is_some() && line.job_due > until)
-        {
+        let late = self.lines.iter_mut().filter(|(_, line)| line.job.is_some() && line.job_due > until);
+        late.map(|(key, line)| {
             line.job_due = until;
-            // While it is being opened, it is given up sooner.
-            if line.talk.phase == Phase::Busy {
-                hastened.push(*key);
-            }
-        }
-        hastened
+            *key
+        })
+        .collect()
     }
 
     pub fn out(&self, command: u64, dispatch: usize) -> Option<u64> {
--- a/crates/gateway/src/run/listener.rs
+++ b/crates/gateway/src/run/listener.rs
@@ -30,22 +30,19 @@
         Ok(Listener { listener, handle, token })
     }
 
-    /// The next connection in the listen queue.
-    pub fn next(&self) -> Option<TcpStream> {
+    /// The next connection in the listen queue; Err: it may hold more, which can't be had now.
+    pub fn next(&self) -> std::io::Result<Option<TcpStream>> {
         loop {
             match self.listener.accept() {
                 Ok((stream, _)) => {
                     if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_ok() {
-                        return Some(stream);
+                        return Ok(Some(stream));
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(error) => {
-                    tracing::warn!(target: "clients", "accept: {error}");
-                    return None;
-                }
+                Err(error) => return Err(error),
             }
         }
     }
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -111,6 +111,11 @@
         self.in_hand.is_none() && self.inbox.rest().is_empty() && self.outbox.is_empty()
     }
 
+    /// What came in whole waits until the gateway serves.
+    pub fn is_kept(&self) -> bool {
+        self.kept
+    }
+
     /// Its connection was ended here.
     pub fn is_closing(&self) -> bool {
         self.phase == Phase::Closing
--- a/crates/hosting/src/due.rs
+++ b/crates/hosting/src/due.rs
@@ -22,6 +22,13 @@
         }
     }
 
+    /// What is due by then stays as it is; what would be due later is due then.
+    pub fn hasten<K: Ord + Copy>(&mut self, times: &mut DueTimes<K>, what: K, most: Micros) {
+        if self.due.is_some_and(|due| due > most) {
+            self.set(times, what, most);
+        }
+    }
+
     /// Nothing is due any more.
     pub fn clear(&mut self) {
         self.due = None;
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -197,6 +197,37 @@
         Gateway { address: free, child, config: path, sockets }
     }
 
+    /// The same with another configuration than the usual, as `change` makes it, and where the machine grants only so many
+    /// descriptors.
+    pub fn launch_as(
+        program: &str,
+        discovery: SocketAddr,
+        sockets: usize,
+        granted: Option<usize>,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let n = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let own = format!("127.1.{}.{}:0", 1 + n / 200, 1 + n % 200);
+        let free = TcpListener::bind(own).and_then(|l| l.local_addr()).expect("a free port");
+        let path = std::env::temp_dir().join(format!("tansyjunction-as-{}-{n}.json", std::process::id()));
+        let config = change(Gateway::config(free, &discovery.to_string(), sockets, "null"));
+        std::fs::write(&path, config).expect("a file");
+        let limit = granted.map_or(String::new(), |granted| format!("ulimit -n {granted}; "));
+        let child = Command::new("sh")
+            .args(["-c", &format!("{limit}exec \"$0\" serve --config \"$1\""), program])
+            .arg(&path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a shell");
+        Gateway { address: free, child, config: path, sockets }
+    }
+
+    /// Its number as a process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until it answers empty queries.
     pub fn wait_ready(&self) {
         until("the listener", || TcpStream::connect(self.address).is_ok());
