A test that SIGTERM reaches what the handover holds

after_sigterm_what_is_held_is_answered_before_the_end in crates/cli/tests/changes.rs: without Handover::hasten in gateway/due.rs stop it printed 'Ended: ...' after 6 s, the client's whole patience.

--- a/crates/cli/tests/changes.rs
+++ b/crates/cli/tests/changes.rs
@@ -283,6 +283,24 @@
     assert!(matches!(client.ask(&payment("t2", 0)), Reply::Value(_)), "{}", started.log());
 }
 
+/// Guards against a held write whose client waits for longer than the process lasts, and would never be answered.
+#[test]
+fn after_sigterm_what_is_held_is_answered_before_the_end() {
+    let mut rig = Rig::start(1, true, 21);
+    let gateway = &rig.gateways[0];
+    let mut client = Client::connect(gateway.address, Duration::from_secs(6)).expect("it connects");
+    assert!(matches!(client.ask(&payment("l0", 0)), Reply::Value(_)));
+    assert_eq!(gateway.say(json!({"do": "pause", "shard": "0"})), json!({"ok": true}));
+    client.send(&payment("l1", 0).replace("d=2000", "d=20000"));
+    gateway.wait_until("it is held", || gateway.shard(0)["held"] == 1);
+    gateway.signal("TERM");
+    let reply = client.reply();
+    assert!(reply.throttled(), "{reply:?}: {}", gateway.log());
+    assert_eq!(client.reply(), Reply::Ended);
+    assert!(rig.gateways[0].ended());
+    assert!(rig.store.ledger().iter().all(|row| row.key != "l1"));
+}
+
 /// The primary hangs, another is elected, the old one comes back and takes itself for the primary still, and the list
 /// names it for four seconds.
 #[test]
