--- a/crates/cli/tests/changes.rs
+++ b/crates/cli/tests/changes.rs
@@ -283,7 +283,8 @@
     assert!(matches!(client.ask(&payment("t2", 0)), Reply::Value(_)), "{}", started.log());
 }
 
-/// Guards against a held write whose client waits for longer than the process lasts, and would never be answered.
+/// Guards against a held write whose client waits for longer than the process lasts, and would never be
+/// answered.
 #[test]
 fn after_sigterm_what_is_held_is_answered_before_the_end() {
     let mut rig = Rig::start(1, true, 21);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -175,7 +175,8 @@
     }
 }
 
-/// Whether a connection could not be had since this process holds as many descriptors as the machine grants it.
+/// Whether a connection could not be had since this process holds as many descriptors as the machine grants
+/// it.
 fn is_no_descriptor(error: &std::io::Error) -> bool {
     error.raw_os_error() == Some(TOO_MANY_OPEN)
 }
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -69,9 +69,8 @@
         }
     }
 
-    /// The machine grants fewer descriptors than the configuration does: from now on some stay free. Guards against clients that
-    /// fill them, and leave none to discovery and to servers.
-    /// False: it is so already.
+    /// The machine grants fewer descriptors than the configuration does: from now on some stay free. Guards
+    /// against clients that fill them, and leave none to discovery and to servers. False: it is so already.
     pub(super) fn found_fewer(&mut self) -> bool {
         let most = (self.clients.count() + self.servers.count()).saturating_sub(SPARE).max(1);
         let fewer = most + RESERVE < self.deployment.sockets;
@@ -243,7 +242,8 @@
     /// a moment more.
     pub(super) fn part_with(&mut self, key: u64) {
         let Some(client) = self.clients.get(key).filter(|client| !client.is_closing()) else { return };
-        // Guards against a client that asks whether this process serves, which waits for a list, and keeps it for good.
+        // Guards against a client that asks whether this process serves, which waits for a list, and keeps it
+        // for good.
         if client.is_kept() && !self.ready {
             client.refuse("57P03", "this gateway ends");
             return;
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -136,7 +136,8 @@
                 for key in self.clients.keys() {
                     self.part_with(key);
                     self.mind(key);
-                    // Guards against half a message, or an answer left unread, that began before and has longer than this process.
+                    // Guards against half a message, or an answer left unread, that began before and has
+                    // longer than this process.
                     if let Some(client) = self.clients.get(key) {
                         client.limit.hasten(&mut self.due, Due::Client(key), stops);
                     }
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -37,7 +37,8 @@
             Ok(stream) => stream,
             Err(error) => {
                 warn!(target: "servers", "{}: {error}", self.servers_named.name(server));
-                // Guards against servers taken for ones that refuse where it is this process that has no descriptor left.
+                // Guards against servers taken for ones that refuse where it is this process that has no
+                // descriptor left.
                 return Err(if is_no_descriptor(&error) { Ending::Unsent } else { Ending::Unconnected });
             }
         };
--- a/crates/gateway/src/memory/sessions.rs
+++ b/crates/gateway/src/memory/sessions.rs
@@ -11,8 +11,8 @@
 /// which asks for newer data than need be, never for older.
 const FORGET_AFTER: Micros = 120_000_000;
 
-/// A session's name, which its client may make as long as a message. Guards against names that fill the memory. Should two
-/// have the same mark, they share a number, and ask for newer data than need be.
+/// A session's name, which its client may make as long as a message. Guards against names that fill the
+/// memory. Should two have the same mark, they share a number, and ask for newer data than need be.
 type Mark = u64;
 
 #[derive(Default)]
@@ -24,8 +24,8 @@
 }
 
 impl Sessions {
-    /// The number of a session of which a command is in hand `until` then at most. Guards against a write that is answered
-    /// only after its session's number was given on.
+    /// The number of a session of which a command is in hand `until` then at most. Guards against a write
+    /// that is answered only after its session's number was given on.
     pub fn of(&mut self, name: &str, now: Micros, until: Micros) -> usize {
         let mut hasher = DefaultHasher::new();
         name.hash(&mut hasher);
--- a/crates/gateway/src/memory/turns.rs
+++ b/crates/gateway/src/memory/turns.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-/// Connections that wait for their turn, each once. Guards against one that is named again and again while it waits, and so
-/// has more turns than the others.
+/// Connections that wait for their turn, each once. Guards against one that is named again and again while it
+/// waits, and so has more turns than the others.
 #[derive(Default)]
 pub struct Turns {
     queue: VecDeque<u64>,
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -12,14 +12,15 @@
 use crate::run::deployment::Deployment;
 use crate::run::listener::Listener;
 
-/// Keeps signals until they are heeded. Guards against a SIGHUP that comes while the process starts, and would end it.
+/// Keeps signals until they are heeded. Guards against a SIGHUP that comes while the process starts, and
+/// would end it.
 pub fn signals() -> Result<Signals, String> {
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
     signals.map_err(|error| format!("signals: {error}"))
 }
 
-/// Serves as the configuration at `path`, or the one that the environment names, and the program's settings say; `signals`
-/// that came before are heeded then.
+/// Serves as the configuration at `path`, or the one that the environment names, and the program's settings
+/// say; `signals` that came before are heeded then.
 pub fn serve(signals: Signals, path: Option<PathBuf>, program: &Program) -> Result<(), String> {
     let deployment = Deployment::read(path.as_deref())?;
     let text = |what: &'static str| move |error: calloop::Error| format!("{what}: {error}");
--- a/crates/gateway/src/wire/frames.rs
+++ b/crates/gateway/src/wire/frames.rs
@@ -116,7 +116,9 @@
     use proptest::test_runner::RngSeed;
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig {
+            cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default()
+        })]
 
         #[test]
         fn no_bytes_are_beyond_reading(
--- a/crates/gateway/src/wire/statement.rs
+++ b/crates/gateway/src/wire/statement.rs
@@ -167,7 +167,9 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig {
+            cases: 4_000, rng_seed: RngSeed::Fixed(38), failure_persistence: None, ..ProptestConfig::default()
+        })]
 
         #[test]
         fn no_message_is_beyond_reading(bytes in vec(any::<u8>(), 0..200), new in 1..WAIT_MOST) {
--- a/crates/handover/tests/phases.rs
+++ b/crates/handover/tests/phases.rs
@@ -499,7 +499,8 @@
     assert_eq!(place(soon), 0);
 }
 
-/// Guards against held writes whose clients wait for longer than their gateway lasts: they would never be answered.
+/// Guards against held writes whose clients wait for longer than their gateway lasts: they would never be
+/// answered.
 #[test]
 fn where_the_host_ends_all_that_is_held_is_answered_before() {
     let mut bench = Bench::calm();
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -197,8 +197,8 @@
         Gateway { address: free, child, config: path, sockets }
     }
 
-    /// The same with another configuration than the usual, as `change` makes it, and where the machine grants only so many
-    /// descriptors.
+    /// The same with another configuration than the usual, as `change` makes it, and where the machine grants
+    /// only so many descriptors.
     pub fn launch_as(
         program: &str,
         discovery: SocketAddr,
