Discovery: bounds on whole lists, resets are no ends, whole list after any failure

Ruled out: refusals, a full accept queue, lists that break off and SIGHUP in each state were known in time before as well.

A whole list has 2.5 s to be there (5 s for a process that serves nothing yet, and after one that was too slow, so that an agent that is slow and lives is heard), a list or empty line on a watch 5 s after the last one; only what is whole renews that. After anything that fails or ends the whole list is asked for, whatever its number, after a pause that starts anew only once a watch has lived. The longest paths stand as sums beside the constants, asserted when built. SIGHUP asks anew at the same address too. A new process doubles its patience. Each list is found by its brackets and parsed once; a turn reads half a MiB and 16 lists at most; more than 4 MiB or 5,000 servers are refused. An entry that can't be read is named in the log, and its server stays as it was.

--- /dev/null
+++ b/crates/cli/tests/discovering.rs
@@ -0,0 +1,421 @@
+//! What discovery has is known in time, whatever call on it failed before: the program on sockets beside a discovery that
+//! is slow, breaks off, spoils its lists or can't be reached. Traffic goes on meanwhile.
+
+#[path = "rig/agent.rs"]
+mod agent;
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+use agent::{Agent, Rig, Spoils};
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
+const MS: Duration = Duration::from_millis(1);
+/// What discovery has counts as told so long after it can be reached; and so long after SIGHUP.
+const COUNTS: Duration = Duration::from_secs(6);
+const SIGHUP_COUNTS: Duration = Duration::from_secs(4);
+/// Servers that drain may be sent to for so long.
+const DRAINS: Duration = Duration::from_secs(1);
+/// A restarted process is ready by then.
+const READY: Duration = Duration::from_secs(10);
+/// Between two bytes of a discovery that is slow by the byte: no silence, and no list within a minute.
+const DRIPS: Spoils = Spoils::Drips(Duration::from_millis(250));
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.3:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+/// All that is said is spoilt for a while, on the open watch too; then new calls are answered well. Calls of before stay as
+/// they were: what began to drip drips on.
+fn known_once_it_is_well(spoils: Spoils, lasts: Duration, bound: Duration) {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    agent.spoils(Some(spoils));
+    let reached = rig.reads_for(&gateway, lasts);
+    assert!(reached > 0, "{spoils:?}: the last list did not stay in force");
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    agent.spoils(None);
+    let last = rig.last_read_at_the_replica(&gateway, since, bound);
+    assert!(last < bound, "{spoils:?} for {lasts:?}: {last:?}");
+}
+
+/// Guards against bytes taken for a sign of life: here the watch drips, ...
+#[test]
+fn a_watch_that_is_slow_by_the_byte_is_given_up() {
+    known_once_it_is_well(DRIPS, 300 * MS, COUNTS);
+}
+
+/// ... and here the watch did, and now the whole list that was asked for instead.
+#[test]
+fn a_whole_list_that_is_slow_by_the_byte_is_given_up() {
+    known_once_it_is_well(DRIPS, 6_000 * MS, COUNTS);
+}
+
+/// A silence that is followed by a list slow by the byte is one that counts from its beginning.
+#[test]
+fn a_list_that_drips_after_a_silence_is_given_up_in_time() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let (since, connections) = (Instant::now(), agent.connections());
+    agent.falls_silent(0);
+    agent.has(rig.entries("draining"));
+    agent.spoils(Some(DRIPS));
+    scope(|scope| {
+        scope.spawn(|| {
+            // Only the first call drips.
+            until("a call", || agent.connections() > connections);
+            sleep(200 * MS);
+            agent.spoils(None);
+        });
+        let last = rig.last_read_at_the_replica(&gateway, since, COUNTS);
+        assert!(last > 500 * MS && last < COUNTS, "{last:?}");
+    });
+}
+
+/// A reset is no end, and an end within a list is none either.
+#[test]
+fn lists_that_break_off_are_not_taken_and_are_asked_for_again() {
+    scope(|scope| {
+        for spoils in [Spoils::Resets, Spoils::ResetsAtTheEnd, Spoils::Ends] {
+            scope.spawn(move || known_once_it_is_well(spoils, 2_000 * MS, DRAINS));
+        }
+    });
+}
+
+#[test]
+fn lists_that_cannot_be_read_or_never_end_are_asked_for_again() {
+    scope(|scope| {
+        for spoils in [Spoils::Malformed, Spoils::Huge] {
+            scope.spawn(move || known_once_it_is_well(spoils, 2_000 * MS, 2 * DRAINS));
+        }
+    });
+}
+
+/// Guards against a watch that is opened again and again from the version before a line that can't be read.
+#[test]
+fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let (since, connections) = (Instant::now(), agent.connections());
+    agent.has_and_spoils(rig.entries("draining"), Spoils::MalformedWatch);
+    let last = rig.last_read_at_the_replica(&gateway, since, DRAINS);
+    assert!(last < DRAINS, "{last:?}");
+    // Two calls each time, at the longest pause after a few.
+    let calls = agent.connections() - connections;
+    assert!(calls < 20, "{calls} calls in {:?}", since.elapsed());
+}
+
+/// Guards against a watch that never leaves the thread to the others.
+#[test]
+fn a_flood_of_lists_does_not_keep_the_traffic() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.spoils(Some(Spoils::Floods));
+    assert!(rig.reads_for(&gateway, 2_000 * MS) > 0);
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    let last = rig.last_read_at_the_replica(&gateway, since, COUNTS);
+    assert!(last < COUNTS, "{last:?}");
+}
+
+/// Guards against an agent that numbers anew and is not heard as long as its watch lives.
+#[test]
+fn lists_numbered_anew_from_below_are_heard() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let since = Instant::now();
+    agent.numbers_anew(rig.entries("draining"));
+    let last = rig.last_read_at_the_replica(&gateway, since, DRAINS);
+    assert!(last < DRAINS, "{last:?}");
+    // The watch goes on from the new numbers.
+    let connections = agent.connections();
+    agent.has(rig.entries("up"));
+    let before = rig.replica.asked().len();
+    until("a read at the replica", || rig.reads_for(&gateway, 20 * MS) > 0);
+    assert!(rig.replica.asked().len() > before);
+    assert_eq!(agent.connections(), connections, "the watch was opened anew");
+}
+
+/// Guards against an entry that can't be read and hides the others; its own server stays as it was.
+#[test]
+fn one_entry_that_cannot_be_read_hides_no_other() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let odd = |entries: Vec<String>, place: usize| -> Vec<String> {
+        let spoil = |(n, entry): (usize, String)| match n == place {
+            true => entry.replace("127.0.0.1", "nowhere"),
+            false => entry,
+        };
+        entries.into_iter().enumerate().map(spoil).collect()
+    };
+    let connections = agent.connections();
+    agent.has(odd(rig.entries("up"), 1));
+    assert!(rig.reads_for(&gateway, 1_000 * MS) > 0);
+    let since = Instant::now();
+    agent.has(odd(rig.entries("draining"), 0));
+    let last = rig.last_read_at_the_replica(&gateway, since, DRAINS);
+    assert!(last < DRAINS, "{last:?}");
+    let mut client = gateway.client();
+    assert!(matches!(client.ask(&write(1)), Reply::Value(_)), "the primary stays as it was");
+    assert_eq!(agent.connections(), connections, "the watch was opened anew");
+}
+
+/// The pauses between tries stay short: within a second after the return all is known.
+#[test]
+fn a_discovery_that_refused_is_known_soon_after_its_return() {
+    let rig = Rig::new();
+    let agent = Agent::start_at(free_address(), rig.entries("up"));
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.refuses(true);
+    assert!(rig.reads_for(&gateway, 3_000 * MS) > 0);
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    agent.refuses(false);
+    let last = rig.last_read_at_the_replica(&gateway, since, DRAINS);
+    assert!(last < DRAINS, "{last:?}");
+}
+
+/// A connection that does not come up is given up, and tried again: here the agent's queue is full.
+#[test]
+fn a_connection_that_does_not_come_up_is_tried_again() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let queued = agent.stalls();
+    agent.falls_silent(0);
+    assert!(rig.reads_for(&gateway, 5_000 * MS) > 0);
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    agent.goes_on(queued);
+    let last = rig.last_read_at_the_replica(&gateway, since, COUNTS);
+    assert!(last < COUNTS, "{last:?}");
+}
+
+/// Guards against bounds so short that an agent which is slow and lives is never heard: its list takes three and a half
+/// seconds, which the first ask is not given.
+#[test]
+fn a_list_that_comes_slowly_is_heard_at_the_second_ask() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    agent.writes_indented(Some(700 * MS));
+    let connections = agent.connections();
+    agent.has_and_ends_all(rig.entries("draining"));
+    let last = rig.last_read_at_the_replica(&gateway, Instant::now(), 7_500 * MS);
+    assert!(last > 500 * MS && last < 7_500 * MS, "{last:?}");
+    // Two asks, and the watch.
+    assert_eq!(agent.connections(), connections + 3);
+}
+
+/// SIGHUP, whatever the old address is at, while the new one does not answer its first two calls.
+#[test]
+fn sighup_is_followed_in_time_whatever_went_before() {
+    type Turns = fn(&Agent) -> Vec<TcpStream>;
+    let states: [(&str, Turns); 6] = [
+        ("watching", |_| Vec::new()),
+        ("silent", |agent| {
+            agent.falls_silent(0);
+            Vec::new()
+        }),
+        ("half a list", |agent| {
+            agent.spoils(Some(DRIPS));
+            agent.ends_all();
+            Vec::new()
+        }),
+        ("connecting", |agent| {
+            let queued = agent.stalls();
+            agent.ends_all();
+            queued
+        }),
+        ("refused", |agent| {
+            agent.refuses(true);
+            Vec::new()
+        }),
+        ("malformed", |agent| {
+            agent.spoils(Some(Spoils::Malformed));
+            Vec::new()
+        }),
+    ];
+    scope(|scope| {
+        for (state, turns) in states {
+            scope.spawn(move || {
+                let rig = Rig::new();
+                let agent = Agent::start_at(free_address(), rig.entries("up"));
+                let another = Agent::start(rig.entries("draining"));
+                let gateway = Gateway::start(PROGRAM, agent.address);
+                let queued = turns(&agent);
+                assert!(rig.reads_for(&gateway, 400 * MS) > 0);
+                another.falls_silent(2);
+                let since = Instant::now();
+                gateway.reload(&another.address.to_string());
+                let last = rig.last_read_at_the_replica(&gateway, since, SIGHUP_COUNTS);
+                assert!(last > 500 * MS && last < SIGHUP_COUNTS, "{state}: {last:?}");
+                drop(queued);
+            });
+        }
+    });
+}
+
+/// Guards against a new address that drips: after SIGHUP there is less time for it.
+#[test]
+fn after_sighup_a_discovery_that_is_slow_by_the_byte_is_given_up_in_time() {
+    let rig = Rig::new();
+    let (agent, another) = (rig.agent(), Agent::start(rig.entries("draining")));
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    another.spoils(Some(DRIPS));
+    let since = Instant::now();
+    gateway.reload(&another.address.to_string());
+    until("a call", || another.connections() > 0);
+    sleep(200 * MS);
+    another.spoils(None);
+    let last = rig.last_read_at_the_replica(&gateway, since, SIGHUP_COUNTS);
+    assert!(last > 500 * MS && last < SIGHUP_COUNTS, "{last:?}");
+}
+
+/// Guards against a watch at the same address that has fallen silent, and two calls after it as well.
+#[test]
+fn sighup_with_the_same_address_asks_it_anew() {
+    let rig = Rig::new();
+    let agent = rig.agent();
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    agent.falls_silent(2);
+    agent.has(rig.entries("draining"));
+    let since = Instant::now();
+    gateway.reload(&agent.address.to_string());
+    let last = rig.last_read_at_the_replica(&gateway, since, SIGHUP_COUNTS);
+    assert!(last < 2_000 * MS, "{last:?}");
+}
+
+/// Twice in a row, to an address where nobody is, and back.
+#[test]
+fn sighup_there_and_back_again_is_followed() {
+    scope(|scope| {
+        for between in [Duration::ZERO, 700 * MS] {
+            scope.spawn(move || {
+                let rig = Rig::new();
+                let agent = rig.agent();
+                let gateway = Gateway::start(PROGRAM, agent.address);
+                gateway.reload(&free_address().to_string());
+                if !between.is_zero() {
+                    assert!(rig.reads_for(&gateway, between) > 0);
+                }
+                agent.has(rig.entries("draining"));
+                let since = Instant::now();
+                gateway.reload(&agent.address.to_string());
+                let last = rig.last_read_at_the_replica(&gateway, since, SIGHUP_COUNTS);
+                assert!(last < SIGHUP_COUNTS, "{between:?}: {last:?}");
+            });
+        }
+    });
+}
+
+/// What the old address tells after SIGHUP is not taken; a faulty configuration changes nothing.
+#[test]
+fn after_sighup_only_the_address_in_force_is_heard() {
+    let rig = Rig::new();
+    let (agent, another) = (rig.agent(), rig.agent());
+    let gateway = Gateway::start(PROGRAM, agent.address);
+    agent.after_a_beat();
+    let connections = agent.connections();
+    gateway.reload("nowhere");
+    assert!(rig.reads_for(&gateway, 500 * MS) > 0);
+    assert_eq!(agent.connections(), connections, "a faulty configuration was taken");
+    another.says_nothing(true);
+    gateway.reload(&another.address.to_string());
+    until("a call at the new address", || another.connections() > 0);
+    agent.has(rig.entries("draining"));
+    rig.reads_for(&gateway, 1_000 * MS);
+    assert!(rig.reads_for(&gateway, 500 * MS) > 0, "the old address was heard");
+    another.has(rig.entries("draining"));
+    let since = Instant::now();
+    another.says_nothing(false);
+    let last = rig.last_read_at_the_replica(&gateway, since, DRAINS);
+    assert!(last < DRAINS, "{last:?}");
+}
+
+/// SIGHUP before the first list: what the new address has is the first.
+#[test]
+fn sighup_before_the_first_list_is_followed() {
+    let rig = Rig::new();
+    let (agent, another) = (rig.agent(), Agent::start(rig.entries("draining")));
+    agent.says_nothing(true);
+    let gateway = Gateway::launch(PROGRAM, agent.address, 64, "null");
+    until("the listener", || TcpStream::connect(gateway.address).is_ok());
+    until("a call", || agent.connections() > 0);
+    let since = Instant::now();
+    gateway.reload(&another.address.to_string());
+    gateway.wait_ready();
+    assert!(since.elapsed() < SIGHUP_COUNTS, "{:?}", since.elapsed());
+    assert!(matches!(gateway.client().ask(&read(1)), Reply::Value(_)));
+    assert!(rig.replica.asked().is_empty(), "sent by a list that was not there");
+}
+
+/// Restarted processes are ready in time beside a discovery that is late, silent or refuses at first, or tells a wrong list.
+#[test]
+fn restarted_processes_are_ready_in_time() {
+    type Starts = fn(&Rig) -> Agent;
+    let starts: [(&str, Starts); 6] = [
+        ("late", |rig| {
+            let agent = rig.agent();
+            agent.answers_late(2_000 * MS);
+            agent
+        }),
+        ("later", |rig| {
+            let agent = rig.agent();
+            agent.answers_late(2_500 * MS);
+            agent
+        }),
+        ("empty", |_| Agent::start(Vec::new())),
+        ("of others", |_| Agent::start(vec![entry("s9", free_address(), "up", true)])),
+        ("silent", |rig| {
+            let agent = rig.agent();
+            agent.says_nothing(true);
+            agent
+        }),
+        ("refusing", |rig| {
+            let agent = Agent::start_at(free_address(), rig.entries("up"));
+            agent.refuses(true);
+            agent
+        }),
+    ];
+    scope(|scope| {
+        for (start, agent) in starts {
+            scope.spawn(move || {
+                let rig = Rig::new();
+                let agent = agent(&rig);
+                let began = Instant::now();
+                let gateways = [(); 2].map(|()| Gateway::launch(PROGRAM, agent.address, 64, "null"));
+                if matches!(start, "silent" | "refusing") {
+                    sleep(3_000 * MS);
+                    agent.says_nothing(false);
+                    agent.refuses(false);
+                }
+                for gateway in &gateways {
+                    until("an answer to an empty query", || {
+                        let client = Client::connect(gateway.address, BOUND);
+                        client.is_ok_and(|mut client| client.ask("") == Reply::Empty)
+                    });
+                }
+                assert!(began.elapsed() < READY, "{start}: {:?}", began.elapsed());
+            });
+        }
+    });
+}
--- a/crates/cli/tests/rig/agent.rs
+++ b/crates/cli/tests/rig/agent.rs
@@ -1,13 +1,38 @@
-//! Discovery's agent on a gateway's machine: what it has, and the ways in which it keeps that to itself.
+//! Discovery's agent on a gateway's machine: what it has, and the ways in which it keeps that to itself or spoils it.
+#![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use tansyjunction_standin::Reply;
+use tansyjunction_standin::scripted::{Does, Gateway, Server, entry, read, until};
+
 /// Between two signs of life on a watch.
 const BEAT: Duration = Duration::from_secs(2);
 
+/// How it spoils what it says.
+#[derive(Clone, Copy, Debug)]
+pub enum Spoils {
+    /// Byte by byte, with this pause between them; what began so goes on so.
+    Drips(Duration),
+    /// Half of a list, then a reset.
+    Resets,
+    /// A list in which most servers are missing, without a length, then a reset.
+    ResetsAtTheEnd,
+    /// Half of a list, then the end.
+    Ends,
+    /// Nothing that can be read.
+    Malformed,
+    /// The same, on a watch alone.
+    MalformedWatch,
+    /// A list without an end.
+    Huge,
+    /// What it has, again and again, and empty lines, on a watch alone.
+    Floods,
+}
+
 #[derive(Default)]
 struct State {
     version: u64,
@@ -22,6 +47,14 @@
     /// Lists are written over many lines, in pieces with this pause between them.
     indented: bool,
     pause: Option<Duration>,
+    /// What is said from now on, also on a watch that is open.
+    spoils: Option<Spoils>,
+    /// Before it answers a call, it waits for so long.
+    late: Option<Duration>,
+    /// Nothing listens.
+    refuses: bool,
+    /// Connections are left in the queue.
+    stalls: bool,
     connections: usize,
     /// When a watch last wrote anything.
     wrote: Option<Instant>,
@@ -56,8 +89,28 @@
         let agent = Arc::new(Shared { state, ..Shared::default() });
         let shared = agent.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let mut listener = Some(listener);
+            loop {
+                let accepted = match &listener {
+                    Some(listener) => listener.accept(),
+                    None => TcpListener::bind(address).map(|bound| listener = Some(bound)).and_then(|()| {
+                        // Whoever waits is accepted in the next round.
+                        Err(std::io::ErrorKind::WouldBlock.into())
+                    }),
+                };
                 let mut state = shared.lock();
+                while state.stalls {
+                    state = shared.turned.wait(state).expect("the state");
+                }
+                if state.refuses {
+                    listener = None;
+                    shared.turned.notify_all();
+                    while state.refuses {
+                        state = shared.turned.wait(state).expect("the state");
+                    }
+                    continue;
+                }
+                let Ok((stream, _)) = accepted else { continue };
                 let number = state.connections;
                 state.connections += 1;
                 if state.mute_next > 0 {
@@ -101,10 +154,62 @@
         self.change(|state| (state.indented, state.pause) = (true, pause));
     }
 
+    /// What it says from now on is spoilt, until told otherwise.
+    pub fn spoils(&self, how: Option<Spoils>) {
+        self.change(|state| state.spoils = how);
+    }
+
+    /// It ends all connections, and in the same moment it has another list.
+    pub fn has_and_ends_all(&self, entries: Vec<String>) {
+        self.change(|state| {
+            (state.version, state.entries) = (state.version + 2, entries);
+            state.ended_below = state.connections;
+        });
+    }
+
+    /// It has another list, and spoils what it says from the same moment on.
+    pub fn has_and_spoils(&self, entries: Vec<String>, how: Spoils) {
+        self.change(|state| {
+            (state.version, state.entries, state.spoils) = (state.version + 2, entries, Some(how));
+        });
+    }
+
+    /// It numbers its lists anew, from below.
+    pub fn numbers_anew(&self, entries: Vec<String>) {
+        self.change(|state| (state.version, state.entries) = (3, entries));
+    }
+
+    /// Every call is answered so late.
+    pub fn answers_late(&self, late: Duration) {
+        self.change(|state| state.late = Some(late));
+    }
+
+    /// Nothing listens, and all connections end, until told otherwise.
+    pub fn refuses(&self, refuses: bool) {
+        self.change(|state| (state.refuses, state.ended_below) = (refuses, state.connections));
+        if refuses {
+            until("no listener", || TcpStream::connect(self.address).is_err());
+        } else {
+            until("the listener", || TcpStream::connect(self.address).is_ok());
+        }
+    }
+
+    /// Fills the queue of connections, so that no further one comes up; it goes on once told so.
+    pub fn stalls(&self) -> Vec<TcpStream> {
+        self.change(|state| state.stalls = true);
+        let connect = || TcpStream::connect_timeout(&self.address, Duration::from_millis(300)).ok();
+        std::iter::from_fn(connect).collect()
+    }
+
+    pub fn goes_on(&self, queued: Vec<TcpStream>) {
+        drop(queued);
+        self.change(|state| state.stalls = false);
+    }
+
     /// Waits for the next sign of life, from which on a silence lasts longest.
     pub fn after_a_beat(&self) {
         let before = self.shared.lock().wrote;
-        super::until("a beat", || self.shared.lock().wrote > before);
+        until("a beat", || self.shared.lock().wrote > before);
     }
 
     pub fn connections(&self) -> usize {
@@ -115,25 +220,38 @@
 fn talk(shared: &Shared, number: usize, mut stream: TcpStream) -> Option<()> {
     let mut request = Vec::new();
     let mut byte = [0];
-    while !request.ends_with(b"\r\n\r\n") {
+    // The last byte is left unread for now: closing over it resets the connection.
+    while !request.ends_with(b"\r\n\r") {
         stream.read_exact(&mut byte).ok()?;
         request.push(byte[0]);
     }
     let request = String::from_utf8_lossy(&request).into_owned();
+    let late = shared.lock().late;
+    std::thread::sleep(late.unwrap_or_default());
     let mute = |state: &State| state.mute_all || number < state.mute_below;
     let since = request.split("since=").nth(1).and_then(|rest| rest.split(' ').next()?.parse::<u64>().ok());
     let Some(mut told) = since else {
         let state = shared.lock();
-        if !mute(&state) {
-            let (text, pause) = (list(&state), state.pause);
+        if mute(&state) {
             drop(state);
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
-            pieces(&mut stream, head.as_bytes(), pause)?;
-            pieces(&mut stream, text.as_bytes(), pause)?;
-            return Some(());
+            return silent(stream);
         }
+        let (text, pause, spoils) = (list(&state), state.pause, state.spoils);
+        let part = tansyjunction_standin::scripted::list(
+            state.version,
+            true,
+            &state.entries[..state.entries.len().min(1)],
+        );
         drop(state);
-        return silent(stream);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+        if let Some(spoils) =
+            spoils.filter(|spoils| !matches!(spoils, Spoils::MalformedWatch | Spoils::Floods))
+        {
+            return spoil(shared, stream, spoils, &head, &text, &part);
+        }
+        stream.read_exact(&mut byte).ok()?;
+        pieces(&mut stream, head.as_bytes(), pause)?;
+        return pieces(&mut stream, text.as_bytes(), pause);
     };
     let mut beat = Instant::now();
     let mut head = false;
@@ -144,14 +262,21 @@
             return silent(stream);
         }
         if number < state.ended_below {
+            stream.read_exact(&mut byte).ok()?;
             return None;
         }
-        let news = (state.version > told).then(|| list(&state) + "\n");
-        told = state.version;
         if !head {
             stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
             head = true;
         }
+        if let Some(spoils) = state.spoils {
+            let text = list(&state) + "\n";
+            drop(state);
+            // One chunk that is longer than all that will be said.
+            return spoil(shared, stream, spoils, "3fffff\r\n", &text, &text);
+        }
+        let news = (state.version != told).then(|| list(&state) + "\n");
+        told = state.version;
         let due = beat.elapsed() >= BEAT;
         if news.is_some() || due {
             beat = Instant::now();
@@ -174,6 +299,62 @@
     }
 }
 
+/// Says a list, or begins to, and ends as it is spoilt. Of `part` only those know who take what a reset cut off.
+fn spoil(
+    shared: &Shared,
+    mut stream: TcpStream,
+    spoils: Spoils,
+    head: &str,
+    text: &str,
+    part: &str,
+) -> Option<()> {
+    let half = [head, &text[..text.len() / 2]].concat();
+    match spoils {
+        Spoils::Drips(pause) => {
+            for byte in [head, text].concat().bytes() {
+                stream.write_all(&[byte]).ok()?;
+                std::thread::sleep(pause);
+            }
+            return silent(stream);
+        }
+        Spoils::Resets => stream.write_all(half.as_bytes()).ok()?,
+        Spoils::ResetsAtTheEnd => {
+            let head = if head.starts_with("HTTP") { "HTTP/1.1 200 OK\r\n\r\n" } else { head };
+            stream.write_all([head, &part[..part.len() - 1]].concat().as_bytes()).ok()?;
+            if head.starts_with("HTTP") {
+                stream.write_all(b"}").ok()?;
+            }
+        }
+        Spoils::Ends => {
+            stream.read_exact(&mut [0]).ok()?;
+            stream.write_all(half.as_bytes()).ok()?;
+        }
+        Spoils::Malformed | Spoils::MalformedWatch => {
+            let broken = text.replace("]}", "}]");
+            stream.write_all([head, &broken].concat().as_bytes()).ok()?;
+            return silent(stream);
+        }
+        Spoils::Huge => {
+            let begin = if head.starts_with("HTTP") { "HTTP/1.1 200 OK\r\n\r\n" } else { head };
+            stream.write_all([begin, "{\"seq\":41,\"more\":[0"].concat().as_bytes()).ok()?;
+            let more = ",0".repeat(30_000);
+            loop {
+                stream.write_all(more.as_bytes()).ok()?;
+            }
+        }
+        Spoils::Floods => loop {
+            let state = shared.lock();
+            state.spoils?;
+            let text = format!("{}{}", list(&state), "\n".repeat(4_000)).repeat(20);
+            drop(state);
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()?;
+        },
+    }
+    // What is out has to be read before the reset comes.
+    std::thread::sleep(Duration::from_millis(50));
+    None
+}
+
 fn pieces(stream: &mut TcpStream, bytes: &[u8], pause: Option<Duration>) -> Option<()> {
     let Some(pause) = pause else { return stream.write_all(bytes).ok() };
     for part in bytes.chunks(bytes.len().div_ceil(3)) {
@@ -185,7 +366,7 @@
 
 /// Holds a connection without a word until the other side ends it.
 fn silent(mut stream: TcpStream) -> Option<()> {
-    let _ = stream.read(&mut [0]);
+    while matches!(stream.read(&mut [0]), Ok(1)) {}
     None
 }
 
@@ -199,3 +380,56 @@
         false => text,
     }
 }
+
+/// A primary, and a replica that the list calls draining later on: reads that reach it then show what was not known.
+pub struct Rig {
+    pub primary: Server,
+    pub replica: Server,
+}
+
+impl Rig {
+    pub fn new() -> Rig {
+        let value = || vec![Does::Answers(b"\x9f\0\x03".to_vec())];
+        Rig { primary: Server::start(true, value()), replica: Server::start(false, value()) }
+    }
+
+    pub fn entries(&self, replica: &str) -> Vec<String> {
+        vec![entry("s1", self.primary.address, "up", true), entry("s2", self.replica.address, replica, false)]
+    }
+
+    pub fn agent(&self) -> Agent {
+        Agent::start(self.entries("up"))
+    }
+
+    /// Reads for so long, each answered; tells how many reached the replica.
+    pub fn reads_for(&self, gateway: &Gateway, time: Duration) -> usize {
+        let (mut client, began, before) = (gateway.client(), Instant::now(), self.replica.asked().len());
+        for id in 1.. {
+            let reply = client.ask(&read(id));
+            assert!(matches!(reply, Reply::Value(_)), "{reply:?} after {:?}", began.elapsed());
+            if began.elapsed() > time {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.replica.asked().len() - before
+    }
+
+    /// Reads on and on until a second after the bound; tells when the last one reached the replica.
+    pub fn last_read_at_the_replica(&self, gateway: &Gateway, since: Instant, bound: Duration) -> Duration {
+        let mut client = gateway.client();
+        let mut last = Duration::ZERO;
+        for id in 10_000.. {
+            if since.elapsed() > bound + Duration::from_secs(1) {
+                break;
+            }
+            let (before, asked) = (self.replica.asked().len(), since.elapsed());
+            assert!(matches!(client.ask(&read(id)), Reply::Value(_)));
+            if self.replica.asked().len() > before {
+                last = asked;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        last
+    }
+}
--- a/crates/cli/tests/told.rs
+++ b/crates/cli/tests/told.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use agent::Agent;
+use agent::{Agent, Rig};
 use tansyjunction_standin::scripted::*;
 use tansyjunction_standin::{Client, Reply, START, message};
 
@@ -17,45 +17,6 @@
 const SILENCE_COUNTS: Duration = Duration::from_secs(6);
 const SIGHUP_COUNTS: Duration = Duration::from_secs(4);
 
-/// A primary, and a replica that the list calls draining later on: reads that reach it then show what was not known.
-struct Rig {
-    primary: Server,
-    replica: Server,
-}
-
-impl Rig {
-    fn new() -> Rig {
-        let value = || vec![Does::Answers(b"\x9f\0\x03".to_vec())];
-        Rig { primary: Server::start(true, value()), replica: Server::start(false, value()) }
-    }
-
-    fn entries(&self, replica: &str) -> Vec<String> {
-        vec![entry("s1", self.primary.address, "up", true), entry("s2", self.replica.address, replica, false)]
-    }
-
-    fn agent(&self) -> Agent {
-        Agent::start(self.entries("up"))
-    }
-
-    /// Reads on and on until two seconds after the bound; tells when the last one reached the replica.
-    fn last_read_at_the_replica(&self, gateway: &Gateway, since: Instant, bound: Duration) -> Duration {
-        let mut client = gateway.client();
-        let mut last = Duration::ZERO;
-        for id in 10_000.. {
-            if since.elapsed() > bound + 1_000 * MS {
-                break;
-            }
-            let (before, asked) = (self.replica.asked().len(), since.elapsed());
-            assert!(matches!(client.ask(&read(id)), Reply::Value(_)));
-            if self.replica.asked().len() > before {
-                last = asked;
-            }
-            std::thread::sleep(20 * MS);
-        }
-        last
-    }
-}
-
 /// Guards against a watch that is believed to live for longer than what it misses may go unknown, here right after a beat.
 #[test]
 fn what_a_silent_watch_misses_is_known_before_it_counts() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,13 +21,13 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use tansyjunction::Router;
 use tansyjunction::interface::*;
-use tansyjunction_hosting::{Commands, DueTimes, Names, Reminder};
+use tansyjunction_hosting::{Commands, DueTimes, Names};
 use tansyjunction_settings::Program;
 
 use self::company::Company;
 use self::control::Controls;
 use self::council::Agreeing;
-use self::discovery::{WATCH_AGAIN, Watch};
+use self::discovery::Watch;
 use self::due::LIST_COMES;
 use self::holds::Holds;
 use self::scout::Scouting;
@@ -111,13 +111,7 @@
             sessions: Sessions::default(),
             clients: Clients::default(),
             servers: Servers::default(),
-            watch: Watch {
-                connection: None,
-                version: None,
-                pause: WATCH_AGAIN,
-                silences: 0,
-                due: Reminder::default(),
-            },
+            watch: Watch::default(),
             listener: Some(listener),
             steps: steps::wanted(),
             lacking: Vec::new(),
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -4,7 +4,6 @@
 use tracing::{error, info, warn};
 
 use super::company::Company;
-use super::discovery::WATCH_AGAIN;
 use super::{Due, Gateway};
 use crate::run::deployment::Deployment;
 use crate::wire::client::Next;
@@ -107,13 +106,7 @@
             Due::Council => self.council_beat(at),
             Due::Discovery => {
                 if self.watch.due.is_due(&mut self.due, Due::Discovery, at) {
-                    if self.watch.connection.is_some() {
-                        warn!(target: "discovery", "discovery has fallen silent");
-                        // The whole list comes at once, or this one is silent too: a watch might wait for its beat.
-                        self.watch.silences += u64::from(self.watch.version.is_none());
-                        self.watch.version = None;
-                    }
-                    self.ask_discovery();
+                    self.discovery_due(at);
                 }
             }
             Due::Known if self.ready => {}
@@ -124,9 +117,8 @@
             Due::Known => {
                 if let Some(known) = self.deployment.known.take() {
                     warn!(target: "discovery", "no list came: the configuration's serves until one does");
-                    self.listed(known);
                     // Discovery may number its lists otherwise: the whole one is still asked for.
-                    self.watch.version = None;
+                    self.listed(known);
                 }
             }
             Due::Listener => {
@@ -177,10 +169,8 @@
         if new.discovery != self.deployment.discovery {
             info!(target: "start", "discovery is at {} from now on", new.discovery);
             self.deployment.discovery = new.discovery;
-            // Another address may number its lists otherwise. Until it tells its own, the last one stays in force.
-            (self.watch.version, self.watch.pause, self.watch.silences) = (None, WATCH_AGAIN, 0);
-            self.ask_discovery();
         }
+        self.discovery_anew();
     }
 
     pub fn is_over(&self) -> bool {
--- a/crates/gateway/src/wire/directory.rs
+++ b/crates/gateway/src/wire/directory.rs
@@ -1,5 +1,8 @@
 //! Discovery over HTTP: the whole list of servers, and the watch that keeps it up to date.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::{SocketAddr, TcpStream};
 
 use serde_json::Value as Json;
@@ -9,7 +12,12 @@
 
 /// Longest head, and longest list kept while it comes in.
 const HEAD_MOST: usize = 16 * 1_024;
-const LIST_MOST: usize = 8 * 1_024 * 1_024;
+const LIST_MOST: usize = 4 * 1_024 * 1_024;
+/// Lists nested more deeply than the parser takes.
+const DEEP_MOST: usize = 128;
+/// What is read at a turn, at least 16 KiB each time, and the lists that are taken from it.
+const READS_A_TURN: usize = 16;
+const LISTS_A_TURN: usize = 16;
 
 /// How the body of an answer is measured out.
 enum Body {
@@ -17,9 +25,31 @@
     /// Bytes left of this chunk, its line end included; None: a chunk's size comes next.
     Chunks(Option<usize>),
     Length(usize),
+    /// Until the connection ends.
+    Rest,
     Done,
 }
 
+/// How an answer stands after a read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Stands {
+    Open,
+    /// It goes on, and more may be there: the others have their turn first.
+    More,
+    Ended,
+}
+
+/// What a read brought.
+#[derive(Default)]
+pub struct Came {
+    /// Anything at all.
+    pub bytes: bool,
+    /// Lists that are whole.
+    pub lists: Vec<List>,
+    /// A whole sign of life: a list, or an empty line between two.
+    pub whole: bool,
+}
+
 /// One answer of discovery on its connection: the whole list, or a watch.
 pub struct Answer {
     follow: bool,
@@ -27,6 +57,7 @@
     pub outbox: Outbox,
     body: Body,
     text: Vec<u8>,
+    place: Place,
 }
 
 impl Answer {
@@ -43,30 +74,57 @@
             outbox: Outbox::holding(head.into_bytes()),
             body: Body::Head,
             text: Vec::new(),
+            place: Place::default(),
         }
     }
 
-    /// Reads what came. Lists that are whole go to `lists`; true: the answer goes on.
-    pub fn read(&mut self, stream: &TcpStream, lists: &mut Vec<List>) -> Result<bool, String> {
-        loop {
+    /// Reads what is there, up to a turn's share. What was whole before an error is in `came` all the same.
+    pub fn read(&mut self, stream: &TcpStream, came: &mut Came) -> Result<Stands, String> {
+        for _ in 0..READS_A_TURN {
+            let before = self.inbox.rest().len();
             let reading = self.inbox.read(stream, HEAD_MOST);
-            self.take(lists)?;
+            came.bytes |= self.inbox.rest().len() > before;
+            self.take(came)?;
+            // Guards against what stands behind the end, which would be looked at for ever.
+            if matches!(self.body, Body::Done) {
+                return self.ended(came);
+            }
+            if came.lists.len() >= LISTS_A_TURN {
+                return Ok(Stands::More);
+            }
             match reading {
                 Reading::Full => {}
-                Reading::Dry => return Ok(!matches!(self.body, Body::Done)),
-                Reading::Ended | Reading::Broken => {
-                    if matches!(self.body, Body::Length(usize::MAX)) {
-                        self.body = Body::Done;
-                        self.take(lists)?;
-                    }
-                    return Ok(false);
-                }
+                Reading::Dry => return Ok(Stands::Open),
+                Reading::Ended => return self.ended(came),
+                // Guards against a list that a reset cut short: it is no end, and nothing of the rest is taken.
+                Reading::Broken => return Err("the connection was reset".into()),
             }
         }
+        Ok(Stands::More)
+    }
+
+    /// The answer has ended: a list may only end where its body does, a watch only between two lists.
+    fn ended(&mut self, came: &mut Came) -> Result<Stands, String> {
+        if matches!(self.body, Body::Rest) {
+            self.body = Body::Done;
+            self.take(came)?;
+        }
+        let whole = match self.body {
+            Body::Done => self.place.open.is_empty(),
+            Body::Head => false,
+            _ => self.follow && self.place.open.is_empty(),
+        };
+        if whole { Ok(Stands::Ended) } else { Err("it ended before the list was whole".into()) }
     }
 
-    fn take(&mut self, lists: &mut Vec<List>) -> Result<(), String> {
+    fn take(&mut self, came: &mut Came) -> Result<(), String> {
         loop {
+            if self.follow {
+                self.lines(came)?;
+                if came.lists.len() >= LISTS_A_TURN {
+                    return Ok(());
+                }
+            }
             let rest = self.inbox.rest();
             let chunked = matches!(self.body, Body::Chunks(_));
             match &mut self.body {
@@ -80,8 +138,14 @@
                         }
                         httparse::Status::Partial => return Ok(()),
                     };
-                    if response.code != Some(200) {
-                        return Err(format!("status {}", response.code.unwrap_or(0)));
+                    match response.code {
+                        Some(200) => {}
+                        // Others come before the answer itself.
+                        Some(100 | 102 | 103) => {
+                            self.inbox.consume(head);
+                            continue;
+                        }
+                        other => return Err(format!("status {}", other.unwrap_or(0))),
                     }
                     let value = |name: &str| {
                         let header = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
@@ -94,8 +158,7 @@
                         (None, Some(length)) => {
                             Body::Length(length.trim().parse().map_err(|_| "the length is no number")?)
                         }
-                        // Until the end of the connection.
-                        (None, None) => Body::Length(usize::MAX),
+                        (None, None) => Body::Rest,
                         (Some(coding), _) => return Err(format!("transfer coding {coding}")),
                     };
                     self.inbox.consume(head);
@@ -112,31 +175,37 @@
                         self.inbox.consume(head);
                         self.body = Body::Chunks(Some(size as usize + 2));
                     }
+                    // Guards against a line that never ends, which would be read for ever.
+                    Ok(httparse::Status::Partial) if rest.len() >= HEAD_MOST => {
+                        return Err("a chunk's first line is too long".into());
+                    }
                     Ok(httparse::Status::Partial) => return Ok(()),
                     Err(_) => return Err("no chunk size".into()),
                 },
-                Body::Chunks(Some(left)) | Body::Length(left) if *left > 0 => {
+                Body::Chunks(Some(0)) => self.body = Body::Chunks(None),
+                Body::Length(0) => self.body = Body::Done,
+                Body::Chunks(Some(_)) | Body::Length(_) | Body::Rest => {
                     if rest.is_empty() {
                         return Ok(());
                     }
-                    let count = rest.len().min(*left);
-                    // The last two bytes of a chunk end its line.
-                    let text = if chunked { count.min(left.saturating_sub(2)) } else { count };
-                    self.text.extend_from_slice(&rest[..text]);
-                    if *left != usize::MAX {
+                    let mut count = rest.len();
+                    let mut text = count;
+                    if let Body::Chunks(Some(left)) | Body::Length(left) = &mut self.body {
+                        count = count.min(*left);
+                        // The last two bytes of a chunk end its line.
+                        text = if chunked { count.min(left.saturating_sub(2)) } else { count };
                         *left -= count;
                     }
+                    self.text.extend_from_slice(&rest[..text]);
                     self.inbox.consume(count);
                     if self.text.len() > LIST_MOST {
                         return Err("the list is too long".into());
                     }
-                    self.lines(lists)?;
                 }
-                Body::Chunks(Some(_)) => self.body = Body::Chunks(None),
-                Body::Length(_) => self.body = Body::Done,
                 Body::Done => {
-                    if !self.text.is_empty() && !self.follow {
-                        lists.push(parse(&std::mem::take(&mut self.text))?);
+                    if !self.follow {
+                        came.lists.push(parse(&std::mem::take(&mut self.text))?);
+                        came.whole = true;
                     }
                     return Ok(());
                 }
@@ -146,115 +215,80 @@
 
     /// A watch brings one list after the other, empty lines between them only tell that it lives. Guards against lists that
     /// come indented, over many lines: each ends where its JSON does.
-    fn lines(&mut self, lists: &mut Vec<List>) -> Result<(), String> {
-        // A list that goes on is not read again with each piece of it, or hardly ever.
-        if !self.follow || !self.text.trim_ascii_end().ends_with(b"}") && !self.text.ends_with(b"\n") {
-            return Ok(());
-        }
-        let mut values = serde_json::Deserializer::from_slice(&self.text).into_iter::<Json>();
+    fn lines(&mut self, came: &mut Came) -> Result<(), String> {
         let mut taken = 0;
-        while let Some(value) = values.next() {
-            match value {
-                Ok(json) => lists.push(List::read(&json)?),
-                Err(error) if error.is_eof() => break,
-                Err(error) => return Err(format!("not JSON: {error}")),
+        while came.lists.len() < LISTS_A_TURN {
+            let step = self.place.step(&self.text)?;
+            came.whole |= step != Step::Part;
+            match step {
+                Step::List => came.lists.push(parse(&self.text[taken..self.place.at])?),
+                Step::Line => {}
+                Step::Part => break,
             }
-            taken = values.byte_offset();
+            taken = self.place.at;
+        }
+        if self.place.open.is_empty() {
+            taken = self.place.at;
         }
         self.text.drain(..taken);
-        if self.text.trim_ascii().is_empty() {
-            self.text.clear();
+        self.place.at -= taken;
+        if self.text.is_empty() {
+            self.text = Vec::new();
         }
         Ok(())
     }
 }
 
-fn parse(text: &[u8]) -> Result<List, String> {
-    let json: Json = serde_json::from_slice(text).map_err(|error| format!("not JSON: {error}"))?;
-    List::read(&json)
+/// How far a watch's text was looked through. Guards against a list that is read again with each piece of it: each byte is
+/// looked at once, and a list is parsed when its last bracket is there.
+#[derive(Default)]
+struct Place {
+    at: usize,
+    /// The brackets that close those that are open, the innermost last.
+    open: Vec<u8>,
+    quoted: bool,
+    escaped: bool,
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use tansyjunction::interface::Standing;
-
-    const ENTRY: &str = r#"{"host":"s1","dial":"127.0.0.1:9","site":"a","class":"t","block":3,"health":"up","share":1.5,
-        "born_ms":1767225600123,"recovery":"off"}"#;
+#[derive(PartialEq, Eq)]
+enum Step {
+    /// A list ends here.
+    List,
+    /// A line ends here, between two lists.
+    Line,
+    Part,
+}
 
-    #[test]
-    fn a_watch_is_read_the_same_however_it_is_split() {
-        let list = |version: u64| {
-            format!(r#"{{"seq":{version},"whole":false,"hosts":[{}]}}"#, ENTRY.replace('\n', ""))
-        };
-        let body = format!("\n{}\n\n{}\n", list(41), list(42));
-        let (first, second) = body.split_at(100);
-        let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
-        let bytes =
-            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n{}{}", chunk(first), chunk(second));
-        for split in 0..bytes.len() {
-            let mut answer = Answer::new(([127, 0, 0, 1], 9).into(), Some(40));
-            let mut lists = Vec::new();
-            for part in [&bytes[..split], &bytes[split..]] {
-                answer.inbox.put(part.as_bytes());
-                answer.take(&mut lists).expect("it parses");
+impl Place {
+    fn step(&mut self, text: &[u8]) -> Result<Step, String> {
+        while let Some(byte) = text.get(self.at) {
+            self.at += 1;
+            match byte {
+                _ if std::mem::take(&mut self.escaped) => {}
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' if !self.open.is_empty() => self.quoted = !self.quoted,
+                0..0x20 if self.quoted => return Err("not JSON: a line ends within quotes".into()),
+                _ if self.quoted => {}
+                b'{' => self.open.push(b'}'),
+                b'\n' if self.open.is_empty() => return Ok(Step::Line),
+                b' ' | b'\t' | b'\r' => {}
+                _ if self.open.is_empty() => return Err("not JSON: no list begins here".into()),
+                b'[' => self.open.push(b']'),
+                b'}' | b']' if self.open.pop() != Some(*byte) => {
+                    return Err("not JSON: a bracket does not close the one before".into());
+                }
+                b'}' | b']' if self.open.is_empty() => return Ok(Step::List),
+                _ => {}
             }
-            assert_eq!(
-                lists.iter().map(|list| list.version).collect::<Vec<_>>(),
-                [41, 42],
-                "split at {split}"
-            );
-            let host = &lists[1].hosts[0];
-            assert_eq!((host.group.as_str(), host.size, host.primary), ("3", 1.5, true));
-            assert_eq!((host.started, host.standing), (Some(1_767_225_600_123_000), Standing::Serving));
-        }
-    }
-
-    /// Guards against a watch that takes each line for a list.
-    #[test]
-    fn an_indented_list_is_read_the_same_however_it_is_split() {
-        let text = format!(r#"{{"seq":41,"whole":false,"hosts":[{ENTRY}]}}"#);
-        let json: Json = serde_json::from_str(&text).expect("JSON");
-        let body = format!("\n{:#}\n\n{json}\n", json).repeat(2);
-        let bytes = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
-        for split in 0..bytes.len() {
-            let mut answer = Answer::new(([127, 0, 0, 1], 9).into(), Some(40));
-            let mut lists = Vec::new();
-            for part in [&bytes[..split], &bytes[split..]] {
-                answer.inbox.put(part.as_bytes());
-                answer.take(&mut lists).expect("it parses");
+            if self.open.len() > DEEP_MOST {
+                return Err("not JSON: it is nested too deeply".into());
             }
-            assert_eq!((lists.len(), lists[3].hosts[0].size), (4, 1.5), "split at {split}");
-            assert!(answer.text.is_empty());
-        }
-        for broken in ["{\"seq\":41,\n\"whole\"\n}\n", "nothing\n", "{}\n"] {
-            let mut answer = Answer::new(([127, 0, 0, 1], 9).into(), Some(40));
-            answer.inbox.put(format!("HTTP/1.1 200 OK\r\n\r\n{broken}").as_bytes());
-            assert!(answer.take(&mut Vec::new()).is_err(), "{broken}");
         }
+        Ok(Step::Part)
     }
+}
 
-    #[test]
-    fn what_does_not_parse_is_told() {
-        let with = |old: &str, new: &str| {
-            format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, ENTRY.replace(old, new))
-        };
-        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        for (bytes, part) in [
-            (answer(&with("", "")), ""),
-            (answer("{}"), "'hosts'"),
-            (answer(&with("up", "well")), "'health'"),
-            (answer(&with("127.0.0.1:9", "nowhere")), "'dial'"),
-            (answer("[["), "JSON"),
-            ("HTTP/1.1 503 No\r\n\r\n".into(), "503"),
-            ("SSH-2.0\r\n\r\n".into(), "HTTP"),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n".into(), "chunk"),
-        ] {
-            let mut reading = Answer::new(([127, 0, 0, 1], 9).into(), None);
-            reading.inbox.put(bytes.as_bytes());
-            let mut lists = Vec::new();
-            let said = reading.take(&mut lists).err().unwrap_or_default();
-            assert!(said.contains(part) && (part.is_empty() == (lists.len() == 1)), "{bytes}: {said}");
-        }
-    }
+fn parse(text: &[u8]) -> Result<List, String> {
+    let json: Json = serde_json::from_slice(text).map_err(|error| format!("not JSON: {error}"))?;
+    List::told(&json)
 }
