--- /dev/null
+++ b/crates/cli/tests/written.rs
@@ -0,0 +1,384 @@
+//! What is written to servers, and when: an attempt is judged again before its bytes go out, and a server may end at any
+//! moment of it. Servers note what reached them, so that no second attempt goes unseen.
+
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply, message, row};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
+const MS: Duration = Duration::from_millis(1);
+
+/// One class of each effect and need, one attempt at a time, and connections that may come up late.
+fn settings(guards: &str, attempts: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","aim":6000000000,"hard_limit":6000000000,"effect":"{effect}",
+            "window":2000000000,"late_worth":0.5,"worth":1.0}}"#
+        )
+    };
+    let classes = [("look", "pure"), ("once", "side_effect"), ("keyed", "token"), ("young", "pure")];
+    let classes: Vec<String> = classes.iter().chain(&[("fresh", "pure")]).map(|(n, e)| class(n, e)).collect();
+    format!(
+        r#"{{"balancers":1,"me":0,"my_zone":"a","localities":["a"],"round":5000000,"categories":[{}],
+        "domain":{{"needs_by_class":["eventual","mutate","mutate","lag_bound","strong"],
+        "class_bound":[0,0,0,2000000000,0],"guards":"{guards}"}},
+        "limits":{{"max_attempts":{attempts},"probes":false,"cancelling":false,"second_copies":false,
+        "dial_timeout":4000000000,"conn_idle":15000000000}},
+        "guarantees":{{"drain_grace":1000000000}},"telemetry":{{"fields":[],"how":"silent"}}}}"#,
+        classes.join(",")
+    )
+}
+
+/// A statement of a class; `wait`: the client's time in milliseconds.
+fn statement(class: &str, id: u32, wait: u32) -> String {
+    let verb = match class {
+        "once" | "keyed" => "INSERT INTO records (k, v) VALUES ('7f3a', '\\x9f03') RETURNING v",
+        _ => "SELECT v FROM records WHERE k = '7f3a'",
+    };
+    format!("{verb} /* id={id},c={class},d={wait},k={id},cluster=2 */")
+}
+
+fn value(text: &str) -> Reply {
+    Reply::Value(text.as_bytes().to_vec())
+}
+
+fn failed() -> Reply {
+    Reply::Error("58000".into(), None)
+}
+
+/// A server that takes everything and says who it is.
+fn plain(primary: bool, name: &'static str) -> Gated {
+    late(primary, name, usize::MAX)
+}
+
+/// The same, of which so many connections get through their startup at first.
+fn late(primary: bool, name: &'static str, pass: usize) -> Gated {
+    Gated::start(pass, move |met| {
+        met.whole()?;
+        met.answer(primary, name.as_bytes())?;
+        Ok(true)
+    })
+}
+
+/// Asks until a server got something by it: the list that sends it there has been taken in.
+fn until_asked(what: &str, gateway: &Gateway, class: &str, server: &Gated) {
+    let (mut client, mut id, before) = (gateway.client(), 1_000, server.asked().len());
+    until(what, || {
+        id += 1;
+        client.ask(&statement(class, id, 5_000));
+        server.asked().len() > before
+    });
+}
+
+/// What reached a server before it was told draining or gone is finished there.
+#[test]
+fn an_answer_of_a_server_that_leaves_still_counts() {
+    for health in ["draining", "removed"] {
+        let (go, goes) = mpsc::channel::<()>();
+        let goes = std::sync::Mutex::new(goes);
+        let leaving = Gated::start(usize::MAX, move |met| {
+            met.whole()?;
+            let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+            met.answer(true, b"leaving")?;
+            Ok(true)
+        });
+        let (replica, other) = (plain(false, "replica"), plain(false, "other"));
+        let entries = [entry("s1", leaving.address, "up", true), entry("s2", replica.address, "up", false)];
+        let (discovery, changes) = discovery(list(1, true, &entries));
+        let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+        let mut client = gateway.client();
+        client.send(&statement("once", 1, 5_000));
+        until("the write at its server", || leaving.asked().len() == 1);
+        let change = [entry("s1", leaving.address, health, false), entry("s3", other.address, "up", false)];
+        changes.send(list(2, false, &change)).expect("a watch");
+        until_asked("the list", &gateway, "look", &other);
+        go.send(()).expect("it waits");
+        assert_eq!(client.reply(), value("leaving"), "{health}");
+        assert_eq!(leaving.asked().len(), 1, "{health}");
+    }
+}
+
+/// A server that vanished takes connections no further: nothing counts as sent, the client is told in its time that trying
+/// again does no harm, and the server gets nothing once it is back.
+#[test]
+fn a_server_that_vanished_gets_nothing_when_it_is_back() {
+    let primary = late(true, "late", 0);
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", primary.address, "up", true)]));
+    let settings = settings("await", 4).replace("\"dial_timeout\":4000000000", "\"dial_timeout\":300000000");
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings);
+    let mut client = gateway.client();
+    assert!(client.ask(&statement("once", 1, 1_200)).throttled());
+    assert!(primary.came() >= 2);
+    primary.pass(usize::MAX);
+    until("the end of all that came", || primary.ended() >= primary.came());
+    assert_eq!(primary.asked(), [""; 0]);
+}
+
+/// The server is told what is left of its client's time when the statement is written, and nothing once none is left.
+#[test]
+fn a_server_is_told_the_time_that_is_left_when_its_statement_is_written() {
+    let primary = late(true, "late", 0);
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", primary.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let (mut client, mut short) = (gateway.client(), gateway.client());
+    client.send(&statement("once", 1, 5_000));
+    short.send(&statement("once", 2, 300));
+    until("connections that wait", || primary.came() == 2);
+    let began = Instant::now();
+    assert!(short.reply().throttled());
+    let waited = began.elapsed();
+    primary.pass(usize::MAX);
+    assert_eq!(client.reply(), value("late"));
+    let asked = primary.asked();
+    let told = asked[0].split(",d=").nth(1).and_then(|rest| rest.split(',').next());
+    let told: u128 = told.expect("a wait").parse().expect("a number");
+    assert!(told <= 5_000 - waited.as_millis(), "{told} ms after {waited:?}");
+    assert_eq!(asked.len(), 1, "{asked:?}");
+}
+
+/// A server that does `bad` with the next statement where that is wanted, and ends the connection; how many began to come.
+struct AtTimes {
+    server: Gated,
+    wanted: Arc<AtomicBool>,
+    begun: Arc<AtomicUsize>,
+}
+
+impl AtTimes {
+    fn start(
+        primary: bool,
+        bad: impl Fn(&mut Arriving, usize) -> std::io::Result<()> + Send + Sync + 'static,
+    ) -> Self {
+        let (wanted, begun) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (asked, counted, turn) = (wanted.clone(), begun.clone(), AtomicUsize::new(0));
+        let server = Gated::start(usize::MAX, move |met| {
+            counted.fetch_add(1, Ordering::SeqCst);
+            if asked.swap(false, Ordering::SeqCst) {
+                bad(met, turn.fetch_add(1, Ordering::SeqCst))?;
+                return Ok(false);
+            }
+            met.whole()?;
+            met.answer(primary, b"good")?;
+            Ok(true)
+        });
+        AtTimes { server, wanted, begun }
+    }
+
+    /// Three good ones of a class, so that it stays a server that is well, then the bad one: its reply, and how many
+    /// statements it took.
+    fn after_good_ones(&self, client: &mut Client, class: &str, id: u32) -> (Reply, usize) {
+        for n in 1..4 {
+            assert_eq!(client.ask(&statement(class, id + n, 5_000)), value("good"), "{class} {id}");
+        }
+        let before = self.begun.load(Ordering::SeqCst);
+        self.wanted.store(true, Ordering::SeqCst);
+        let reply = client.ask(&statement(class, id, 5_000));
+        (reply, self.begun.load(Ordering::SeqCst) - before)
+    }
+}
+
+/// A server resets the connection at each byte of a statement that was written whole, and after it at once or some time
+/// later: whatever may not be repeated gets one attempt, and fails; a repeat that its key allows gets another.
+#[test]
+fn a_reset_at_any_byte_of_an_attempt_brings_no_second_one_that_may_not_be() {
+    for (class, reply, attempts) in [("once", failed(), 1), ("keyed", value("good"), 2)] {
+        let length = statement(class, 1_000, 5_000).len() + 6;
+        let times = AtTimes::start(true, move |met, turn| {
+            // Its first byte is here, so that all of it was written: it is in one segment.
+            met.stream.read_exact(&mut vec![0; turn.min(length)])?;
+            if turn > length {
+                std::thread::sleep(300 * MS);
+            }
+            resets(met.stream);
+            Ok(())
+        });
+        let entries = [entry("s1", times.server.address, "up", true)];
+        let (discovery, _changes) = discovery(list(1, true, &entries));
+        let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+        let mut client = gateway.client();
+        for turn in 0..length + 2 {
+            let id = 1_000 + 4 * turn as u32;
+            let found = times.after_good_ones(&mut client, class, id);
+            assert_eq!(found, (reply.clone(), attempts), "{class} at byte {turn}");
+        }
+    }
+}
+
+/// A server ends in the middle of its answer, at each byte, or hangs there: no part of it is passed on, and what may not be
+/// repeated is not. What was answered whole counts, whatever becomes of the connection.
+#[test]
+fn an_answer_that_is_cut_anywhere_is_no_answer() {
+    let whole = row(b"cut");
+    let length = whole.len();
+    for (class, cut) in [("once", failed()), ("look", value("other"))] {
+        let parts = whole.clone();
+        let times = AtTimes::start(class == "once", move |met, turn| {
+            met.whole()?;
+            met.stream.write_all(&parts[..turn])
+        });
+        let other = plain(true, "other");
+        let own = entry("s1", times.server.address, "up", class == "once");
+        let mut entries = vec![own];
+        if class == "look" {
+            entries.push(entry("s2", other.address, "up", true));
+        }
+        let (discovery, _changes) = discovery(list(1, true, &entries));
+        let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+        let mut client = gateway.client();
+        for turn in 0..length + 1 {
+            let found = times.after_good_ones(&mut client, class, 1_000 + 4 * turn as u32);
+            let reply = if turn < length { cut.clone() } else { value("cut") };
+            assert_eq!(found, (reply, 1), "{class} at byte {turn}");
+        }
+    }
+    // It hangs there: the client is answered in its time, and what comes later reaches nobody.
+    let (half, rest) = (whole[..length / 2].to_vec(), whole[length / 2..].to_vec());
+    let (go, goes) = mpsc::channel::<()>();
+    let goes = std::sync::Mutex::new(goes);
+    let server = Gated::start(usize::MAX, move |met| {
+        met.whole()?;
+        met.stream.write_all(&half)?;
+        let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+        met.stream.write_all(&[rest.clone(), message(b'Z', b"I")].concat())?;
+        Ok(true)
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("once", 1, 400)), failed());
+    go.send(()).expect("it waits");
+    until("the end of its connection", || server.ended() == 1);
+    assert_eq!(client.ask(""), Reply::Empty);
+    assert_eq!(server.asked().len(), 1);
+}
+
+/// An answer that came in while the process stood still goes before the time-out that fell due meanwhile.
+#[test]
+fn an_answer_in_the_turn_of_its_time_out_counts() {
+    let (go, goes) = mpsc::channel::<()>();
+    let (said, says) = mpsc::channel();
+    let goes = std::sync::Mutex::new(goes);
+    let server = Gated::start(usize::MAX, move |met| {
+        met.whole()?;
+        let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+        met.answer(true, b"in time")?;
+        let _ = said.send(());
+        Ok(true)
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut client = gateway.client();
+    let began = Instant::now();
+    client.send(&statement("once", 1, 2_000));
+    until("the write at the server", || server.asked().len() == 1);
+    gateway.pause();
+    go.send(()).expect("it waits");
+    says.recv_timeout(BOUND).expect("it has answered");
+    std::thread::sleep((2_200 * MS).saturating_sub(began.elapsed()));
+    gateway.signal("CONT");
+    assert_eq!(client.reply(), value("in time"));
+    assert_eq!(server.asked().len(), 1);
+}
+
+/// A server closes an idle connection in the moment in which the next statement comes: its end is seen before the first byte,
+/// and the statement goes out on another.
+#[test]
+fn the_end_of_an_idle_connection_that_crosses_its_reuse_costs_nothing() {
+    let (go, goes) = mpsc::channel::<()>();
+    let goes = std::sync::Mutex::new(goes);
+    let server = Gated::start(usize::MAX, move |met| {
+        let first = met.whole()? == 0;
+        met.answer(true, b"well")?;
+        if first {
+            let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+        }
+        Ok(!first)
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("once", 1, 5_000)), value("well"));
+    gateway.pause();
+    client.send(&statement("once", 2, 5_000));
+    go.send(()).expect("it waits");
+    until("the end of the idle connection", || server.ended() == 1);
+    gateway.signal("CONT");
+    assert_eq!(client.reply(), value("well"));
+    assert_eq!([server.asked().len(), server.came()], [2, 2]);
+}
+
+/// The same where the end is behind another event of the same turn, by which the idle connection gets its statement: only a
+/// look at the connection itself, right before the first byte, finds it.
+#[test]
+fn the_end_of_an_idle_connection_is_seen_before_the_first_byte() {
+    let (turn, turns) = mpsc::channel::<()>();
+    let (end, ends) = mpsc::channel::<()>();
+    let (turned, away) = mpsc::channel();
+    let (turns, ends) = (std::sync::Mutex::new(turns), std::sync::Mutex::new(ends));
+    let server = Gated::start(usize::MAX, move |met| match met.whole()? {
+        0 => {
+            let _ = turns.lock().expect("one at a time").recv_timeout(BOUND);
+            let error = message(b'E', b"SERROR\0C53300\0Mno\0\0");
+            met.stream.write_all(&[error, message(b'Z', b"I")].concat())?;
+            let _ = turned.send(());
+            Ok(true)
+        }
+        1 => {
+            met.answer(true, b"well")?;
+            let _ = ends.lock().expect("one at a time").recv_timeout(BOUND);
+            Ok(false)
+        }
+        _ => met.answer(true, b"again").map(|()| true),
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let (mut first, mut second) = (gateway.client(), gateway.client());
+    first.send(&statement("once", 1, 5_000));
+    until("the first write", || server.asked().len() == 1);
+    assert_eq!(second.ask(&statement("once", 2, 5_000)), value("well"));
+    gateway.pause();
+    turn.send(()).expect("it waits");
+    away.recv_timeout(BOUND).expect("it was turned away");
+    end.send(()).expect("it waits");
+    until("the end of the idle connection", || server.ended() == 1);
+    gateway.signal("CONT");
+    assert_eq!(first.reply(), value("again"));
+    assert_eq!([server.asked().len(), server.came()], [3, 3]);
+}
+
+/// A client leaves and another one takes its `id` while the first attempt is still out: each answer is its own attempt's.
+#[test]
+fn an_id_that_is_taken_again_gets_its_own_answer() {
+    let (go, goes) = mpsc::channel::<()>();
+    let goes = std::sync::Mutex::new(goes);
+    let server = Gated::start(usize::MAX, move |met| {
+        let first = met.whole()? == 0;
+        if first {
+            let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+        }
+        met.answer(true, if first { b"the first's" } else { b"the second's" })?;
+        Ok(true)
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut leaving = gateway.client();
+    leaving.send(&statement("once", 1, 5_000));
+    until("the first one's write", || server.asked().len() == 1);
+    drop(leaving);
+    let mut client = gateway.client();
+    let mut reply = client.ask(&statement("once", 1, 5_000));
+    // Until its end was noticed the id is the first one's.
+    until("the first one's end", || {
+        if reply == Reply::Error("42601".into(), None) {
+            reply = client.ask(&statement("once", 1, 5_000));
+        }
+        matches!(reply, Reply::Value(_))
+    });
+    assert_eq!(reply, value("the second's"));
+    go.send(()).expect("it waits");
+    assert_eq!(client.ask(&statement("once", 2, 5_000)), value("the second's"));
+    assert_eq!(server.asked().len(), 3);
+}
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, SockRef, Socket, Type};
+
 use crate::client::{Client, Reply};
 use crate::frames::{self, message, row};
 
@@ -115,6 +117,128 @@
     }
 }
 
+/// A statement at a server behind a gate, of which the first byte is there.
+pub struct Arriving<'a> {
+    pub stream: &'a mut TcpStream,
+    notes: &'a Mutex<Notes>,
+}
+
+impl Arriving<'_> {
+    /// Reads the statement to its end and notes it; tells how many came before.
+    pub fn whole(&mut self) -> std::io::Result<usize> {
+        let (_, body) = frames::read(self.stream, true)?;
+        let mut notes = self.notes.lock().expect("the notes");
+        notes.asked.push(String::from_utf8_lossy(&body).into());
+        Ok(notes.asked.len() - 1)
+    }
+
+    /// Answers it as a primary or a replica does that stands at the present.
+    pub fn answer(&mut self, primary: bool, value: &[u8]) -> std::io::Result<()> {
+        let recovery = if primary { "off" } else { "on" };
+        let now = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
+        let stated = [frames::status("recovery", recovery), frames::status("lsn_ms", &now.to_string())];
+        self.stream.write_all(&[row(value), stated.concat(), message(b'Z', b"I")].concat())
+    }
+}
+
+/// What a server behind a gate does with a statement; false: it ends the connection.
+type Meets = dyn Fn(&mut Arriving) -> std::io::Result<bool> + Send + Sync;
+
+#[derive(Default)]
+struct Notes {
+    pass: usize,
+    came: usize,
+    ended: usize,
+    asked: Vec<String>,
+}
+
+/// A server behind a gate: it takes connections, but answers the startup only of those that were let through.
+pub struct Gated {
+    pub address: SocketAddr,
+    notes: Arc<Mutex<Notes>>,
+}
+
+impl Gated {
+    pub fn start(
+        pass: usize,
+        meets: impl Fn(&mut Arriving) -> std::io::Result<bool> + Send + Sync + 'static,
+    ) -> Self {
+        Gated::on(TcpListener::bind("127.0.0.1:0").expect("a port"), pass, meets)
+    }
+
+    /// The same where so little of a statement fits in between that the rest waits at its sender.
+    pub fn narrow(meets: impl Fn(&mut Arriving) -> std::io::Result<bool> + Send + Sync + 'static) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        // The sender's room grows with the segments' size.
+        socket.set_tcp_mss(536).expect("a small segment");
+        socket.set_recv_buffer_size(4_096).expect("a small room");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(64).expect("a port");
+        Gated::on(socket.into(), usize::MAX, meets)
+    }
+
+    fn on(
+        listener: TcpListener,
+        pass: usize,
+        meets: impl Fn(&mut Arriving) -> std::io::Result<bool> + Send + Sync + 'static,
+    ) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let notes = Arc::new(Mutex::new(Notes { pass, ..Notes::default() }));
+        let (noted, meets): (_, Arc<Meets>) = (notes.clone(), Arc::new(meets));
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (noted, meets) = (noted.clone(), meets.clone());
+                thread::spawn(move || {
+                    let _ = Gated::talk(&mut stream, &noted, &*meets);
+                    drop(stream);
+                    noted.lock().expect("the notes").ended += 1;
+                });
+            }
+        });
+        Gated { address, notes }
+    }
+
+    fn talk(stream: &mut TcpStream, notes: &Mutex<Notes>, meets: &Meets) -> std::io::Result<()> {
+        frames::read(stream, false)?;
+        let place = {
+            let mut notes = notes.lock().expect("the notes");
+            notes.came += 1;
+            notes.came
+        };
+        while notes.lock().expect("the notes").pass < place {
+            thread::sleep(Duration::from_millis(1));
+        }
+        stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+        while stream.peek(&mut [0])? > 0 && meets(&mut Arriving { stream, notes })? {}
+        Ok(())
+    }
+
+    /// Lets so many connections through, the first ones.
+    pub fn pass(&self, count: usize) {
+        self.notes.lock().expect("the notes").pass = count;
+    }
+
+    /// How many connections came, with their startup.
+    pub fn came(&self) -> usize {
+        self.notes.lock().expect("the notes").came
+    }
+
+    /// How many connections have ended.
+    pub fn ended(&self) -> usize {
+        self.notes.lock().expect("the notes").ended
+    }
+
+    /// The statements that came whole.
+    pub fn asked(&self) -> Vec<String> {
+        self.notes.lock().expect("the notes").asked.clone()
+    }
+}
+
+/// Resets a connection as it is closed.
+pub fn resets(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("an option");
+}
+
 pub fn entry(host: &str, address: SocketAddr, health: &str, primary: bool) -> String {
     let recovery = if primary { "off" } else { "on" };
     format!(
@@ -181,13 +305,24 @@
     /// Starts it, with the list that it had last, and does not wait. Each has an address of its own, so that no port is
     /// given to another one meanwhile.
     pub fn launch(program: &str, discovery: SocketAddr, sockets: usize, known: &str) -> Self {
+        Gateway::launch_as(program, discovery, sockets, known, SETTINGS)
+    }
+
+    /// The same with settings of a test's own, for as long as it does not reload.
+    pub fn with_settings(program: &str, discovery: SocketAddr, settings: &str) -> Self {
+        let gateway = Gateway::launch_as(program, discovery, 256, "null", settings);
+        gateway.wait_ready();
+        gateway
+    }
+
+    fn launch_as(program: &str, discovery: SocketAddr, sockets: usize, known: &str, settings: &str) -> Self {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let n = NUMBER.fetch_add(1, Ordering::SeqCst);
         let own = format!("127.0.{}.{}:0", 1 + n / 200, 1 + n % 200);
         let free = TcpListener::bind(own).and_then(|l| l.local_addr()).expect("a free port");
         let path = std::env::temp_dir().join(format!("tansyjunction-{}-{n}.json", std::process::id()));
-        let gateway_config = Gateway::config(free, &discovery.to_string(), sockets, known);
-        std::fs::write(&path, gateway_config).expect("a file");
+        let config = Gateway::config(free, &discovery.to_string(), sockets, known, settings);
+        std::fs::write(&path, config).expect("a file");
         let child = Command::new(program)
             .args(["serve", "--config"])
             .arg(&path)
@@ -203,16 +338,16 @@
         assert_eq!(self.client().ask(""), Reply::Empty);
     }
 
-    fn config(listen: SocketAddr, discovery: &str, sockets: usize, known: &str) -> String {
+    fn config(listen: SocketAddr, discovery: &str, sockets: usize, known: &str, settings: &str) -> String {
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"2a","known":{known},
-            "limits":{{"sockets":{sockets}}},"settings":{SETTINGS}}}"#
+            "limits":{{"sockets":{sockets}}},"settings":{settings}}}"#
         )
     }
 
     /// Names another discovery in the configuration and has it read anew.
     pub fn reload(&self, discovery: &str) {
-        let config = Gateway::config(self.address, discovery, self.sockets, "null");
+        let config = Gateway::config(self.address, discovery, self.sockets, "null", SETTINGS);
         std::fs::write(&self.config, config).expect("a file");
         self.signal("HUP");
     }
@@ -226,6 +361,16 @@
         assert!(sent.expect("a shell").success());
     }
 
+    /// Has it stand still, and waits until it does.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("the gateway to stand still", || {
+            let stat = std::fs::read_to_string(&stat).expect("its state");
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        });
+    }
+
     /// Waits for its end; true: it ended well.
     pub fn ended(&mut self) -> bool {
         let mut ended = None;
