The rest of a statement turned away half written stays unwritten

A server may turn a statement away before it has all of it. `hear_line` put the connection to rest with the rest of the statement in its outbox (gateway/servers.rs, Heard::Done): it went out later, while the command was on its way again. Such a connection is closed now. Without that the test counts two whole statements where one may be (left: 2, right: 1).

--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -319,6 +319,35 @@
     assert_eq!(primary.asked().len(), 1);
 }
 
+/// A server may turn a statement away before all of it has come. The rest must not reach it on the resting connection, when
+/// the command is on its way again.
+#[test]
+fn what_was_turned_away_half_written_is_not_finished_later() {
+    let (go, goes) = mpsc::channel::<()>();
+    let goes = std::sync::Mutex::new(goes);
+    let turned_away = AtomicBool::new(false);
+    let primary = Gated::narrow(move |met| {
+        if !turned_away.swap(true, Ordering::SeqCst) {
+            let error = message(b'E', b"SERROR\0C53300\0Mno\0\0");
+            met.stream.write_all(&[error, message(b'Z', b"I")].concat())?;
+            let _ = goes.lock().expect("one at a time").recv_timeout(BOUND);
+        }
+        met.whole()?;
+        met.answer(true, b"again")?;
+        Ok(true)
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", primary.address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut client = gateway.client();
+    client.send(&long_write(1));
+    // It is sent again on a connection of its own.
+    until("the write that was sent again", || primary.asked().len() == 1);
+    assert_eq!(client.reply(), value("again"));
+    go.send(()).expect("it waits");
+    until("the end of what was turned away", || primary.ended() == 1);
+    assert_eq!(primary.asked().len(), 1);
+}
+
 /// A server that does `bad` with the next statement where that is wanted, and ends the connection; how many began to come.
 struct AtTimes {
     server: Gated,
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -108,7 +108,9 @@
                     }
                 }
                 Heard::Done => {
-                    let ended = line.ended;
+                    // Guards against a statement that was turned away half written, and whose rest would go out
+                    // on the resting connection while the command is on its way again.
+                    let ended = line.ended || !line.outbox.is_empty();
                     self.finish_job(key, Ending::Reset);
                     if ended {
                         self.close_line(key);
