--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -348,6 +348,48 @@
     assert_eq!(primary.asked().len(), 1);
 }
 
+/// A connection that ends right behind its startup has taken no statement: one that may not be repeated goes out on another.
+#[test]
+fn a_connection_that_ends_behind_its_startup_takes_no_statement() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (came, comes) = mpsc::channel();
+    let (go, goes) = mpsc::channel::<()>();
+    let (over, done) = mpsc::channel();
+    std::thread::spawn(move || {
+        let welcome = [message(b'R', &[0; 4]), message(b'Z', b"I")].concat();
+        for (place, mut stream) in listener.incoming().flatten().enumerate() {
+            let mut bytes = [0; 1_024];
+            let _ = stream.read(&mut bytes);
+            if place == 0 {
+                let _ = came.send(());
+                let _ = goes.recv_timeout(BOUND);
+                let _ = stream.write_all(&welcome);
+                let _ = stream.shutdown(std::net::Shutdown::Write);
+                let _ = over.send(());
+                // Nothing may come on it but its end.
+                assert_eq!(stream.read(&mut bytes).unwrap_or(0), 0);
+                continue;
+            }
+            let _ = stream.write_all(&welcome);
+            while stream.read(&mut bytes).is_ok_and(|count| count > 0) {
+                let _ = stream.write_all(&[row(b"another"), message(b'Z', b"I")].concat());
+            }
+        }
+    });
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", address, "up", true)]));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut client = gateway.client();
+    client.send(&statement("once", 1, 5_000));
+    comes.recv_timeout(BOUND).expect("a connection");
+    // Once it goes on, both are there at once.
+    gateway.pause();
+    go.send(()).expect("it waits");
+    done.recv_timeout(BOUND).expect("it has ended");
+    gateway.signal("CONT");
+    assert_eq!(client.reply(), value("another"));
+}
+
 /// A server that does `bad` with the next statement where that is wanted, and ends the connection; how many began to come.
 struct AtTimes {
     server: Gated,
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -188,6 +188,12 @@
 
     /// Writes the statement of a connection's job.
     pub(super) fn write_job(&mut self, key: u64) {
+        if self.servers.get(key).is_some_and(|line| line.ended) {
+            // Guards against a statement that is written to a connection that ended behind its startup, and
+            // then counts as one that may have run.
+            self.end_line(key, Ending::Unconnected);
+            return;
+        }
         if !self.may_write(key) {
             return;
         }
@@ -291,7 +297,7 @@
     pub(super) fn reopen(&mut self, key: u64, ending: Ending) -> bool {
         let Some(line) = self.servers.get(key) else { return false };
         let broke = matches!(ending, Ending::Unconnected | Ending::Reset) && line.talk.said.ending.is_none();
-        let new = matches!(line.talk.phase, Phase::Connecting | Phase::Starting);
+        let new = matches!(line.talk.phase, Phase::Connecting | Phase::Starting | Phase::Ready);
         if !broke || !new || line.reopened {
             return false;
         }
