What waits for a process that is no more is placed anew

A list that tells a new start or address of a server closed the idle connections to it and let those being opened for a command go on: to an address where nothing listens any more, or to a cold process for which no lot was drawn. They end as unsent and are placed anew. Without it the test's write waits for its connection's time-out and goes elsewhere ("other").

--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -110,6 +110,33 @@
     }
 }
 
+/// What waits for a connection to a process that is no more is placed anew: where its server listens by now, or at the new
+/// process, for which it may not be meant.
+#[test]
+fn what_waits_for_a_process_that_is_no_more_is_placed_anew() {
+    for moved in [true, false] {
+        let (before, now) = (late(true, "before", 0), plain(true, "now"));
+        let (replica, other) = (plain(false, "replica"), plain(false, "other"));
+        let entries = [entry("s1", before.address, "up", true), entry("s2", replica.address, "up", false)];
+        let (discovery, changes) = discovery(list(1, true, &entries));
+        let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+        let mut client = gateway.client();
+        client.send(&statement("once", 1, 5_000));
+        until("a connection that waits", || before.came() == 1);
+        let own = entry("s1", if moved { now.address } else { before.address }, "up", true);
+        let own = if moved { own } else { own.replace(r#""born_ms":0"#, r#""born_ms":1767225600000"#) };
+        changes.send(list(2, false, &[own, entry("s3", other.address, "up", false)])).expect("a watch");
+        until_asked("the list", &gateway, "look", &other);
+        if !moved {
+            until("another connection", || before.came() == 2);
+            before.pass(usize::MAX);
+        }
+        assert_eq!(client.reply(), value(if moved { "now" } else { "before" }), "moved: {moved}");
+        let asked = [before.asked(), now.asked()].concat();
+        assert_eq!(asked.iter().filter(|asked| asked.contains("id=1,")).count(), 1, "moved: {moved}");
+    }
+}
+
 /// What reached a server before it was told draining or gone is finished there.
 #[test]
 fn an_answer_of_a_server_that_leaves_still_counts() {
--- a/crates/gateway/src/gateway/discovery.rs
+++ b/crates/gateway/src/gateway/discovery.rs
@@ -118,7 +118,7 @@
             self.deployment.known = None;
             self.resume.extend(self.clients.keys());
         }
-        let mut entries = Vec::new();
+        let (mut entries, mut worthless) = (Vec::new(), Vec::new());
         let mut left_out = if list.whole { self.servers.there() } else { Vec::new() };
         for host in &list.hosts {
             let gone = host.standing == Standing::Gone;
@@ -140,9 +140,7 @@
             if gone {
                 left_out.push(server);
             } else {
-                for key in self.servers.known(server, host.dial, host.started) {
-                    self.close_line(key);
-                }
+                worthless.extend(self.servers.known(server, host.dial, host.started));
             }
         }
         self.router.listed(now, Some(&entries), list.whole);
@@ -153,6 +151,10 @@
         if self.deployment.gone_binds {
             self.forget_gone(&left_out);
         }
+        // Guards against what waits for a process that is no more: at the new one, which is cold, it is placed anew.
+        for key in worthless {
+            self.end_line(key, Ending::Unsent);
+        }
         self.judge_unwritten();
     }
 
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -35,7 +35,8 @@
 }
 
 impl Servers {
-    /// Takes in where a server listens and when it started; tells which idle connections are worth nothing now.
+    /// Takes in where a server listens and when it started; tells which connections are worth nothing now: those that
+    /// are idle, and those that have not brought anything there yet.
     pub fn known(&mut self, server: usize, address: Option<SocketAddr>, started: Option<Micros>) -> Vec<u64> {
         let known = self.servers.entry(server).or_default();
         let moved = address.is_some() && known.address.is_some() && known.address != address;
@@ -45,7 +46,12 @@
         if let Some(since) = known.gone.take() {
             self.gone.remove(&(since, server));
         }
-        if moved || restarted { known.idle.clone() } else { Vec::new() }
+        if !(moved || restarted) {
+            return Vec::new();
+        }
+        let mut worthless = known.idle.clone();
+        worthless.extend(self.unwritten(|line| line.server == server));
+        worthless
     }
 
     /// A server is gone; tells which idle connections are worth nothing now.
