--- a/crates/gateway/src/gateway/discovery.rs
+++ b/crates/gateway/src/gateway/discovery.rs
@@ -237,7 +237,7 @@
             self.deployment.known = None;
             self.resume.extend(self.clients.keys());
         }
-        let mut entries = Vec::new();
+        let (mut entries, mut worthless) = (Vec::new(), Vec::new());
         let mut left_out =
             if list.whole { BTreeSet::from_iter(self.servers.there()) } else { BTreeSet::new() };
         for (name, message) in &list.unread {
@@ -269,9 +269,7 @@
                 left_out.insert(server);
             } else {
                 self.watch.listed.insert(server, entry.clone());
-                for key in self.servers.known(server, host.dial, host.started) {
-                    self.close_line(key);
-                }
+                worthless.extend(self.servers.known(server, host.dial, host.started));
             }
             entries.push(entry);
         }
@@ -290,6 +288,11 @@
         if self.deployment.gone_binds {
             self.forget_gone(&left_out);
         }
+        // Guards against what waits for a process that is no more: at the new one, which is cold, it is placed anew.
+        for key in worthless {
+            self.end_line(key, Ending::Unsent);
+        }
+        self.judge_unwritten();
     }
 
     /// Notes which servers are gone, and forgets those that have been for long. Guards against a gateway and router
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -417,7 +417,7 @@
         match place {
             Place::Dispatch { server, timeout } => {
                 let dispatch = entry.held.dispatches.len();
-                entry.held.dispatches.push(Dispatch { server, sent: self.now, ended: None });
+                entry.held.dispatches.push(Dispatch::at_once(server, self.now));
                 let way = WAY[usize::from(gateway.zone != self.servers[server].zone)];
                 let (reach, late) = (self.now + way, self.now + timeout);
                 self.at(reach, Event::Reach { id, dispatch });
