A client that left gets no attempt, and no close resets what crosses it

Seen, each by a test of crates/cli/tests/leaving.rs against the code before: - A client whose end lay behind 8 KB sent ahead was served on, 8316 bytes of answers after its end: Client::read stopped at the command in hand and 4 KB, and nothing else looked for the end. - A statement was written for a client that had left 150 ms before, while the process stood still: the server's welcome was handled before the client's end was read, and write_job looked only at what had been read. - A partly written statement was finished, and so could run, after its client left: close_client touched no connection. - A resting client that was ended here was closed at once: a command that crossed met a reset (part_with_resting), and one that lay unread as descriptors ran out was dropped (room_for_one).

Ruled out: the loop not waking for an end behind unread bytes. With the system's word for such an end alone, or with reading ahead alone, held commands are let go at once.

Changed: up to 512 KB are read beyond the command in hand while inboxes hold less than a sixteenth of the memory, and beyond that the socket is asked for its end (POLLRDHUP; where that is not told, reading ahead alone serves). The client is read right before its statement is written. What is not written whole is called off as unsent when its client leaves; a connection that had not been written to rests. Clients that make way are read first and ended gently; those ended already go first when a descriptor is needed, and no longer count as open. An end waits for an answer in the outbox.

--- /dev/null
+++ b/crates/cli/tests/leaving.rs
@@ -0,0 +1,294 @@
+//! Clients that leave, and connections to clients that are ended here: what is owed at that instant, on real sockets.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
+
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply, START, message};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
+const MS: Duration = Duration::from_millis(1);
+/// An attempt that begins so long after its client's end is a break.
+const NO_LATER: Duration = Duration::from_millis(100);
+
+/// A gateway between a primary and a replica, whose connections may take 1.5 s to come up. It sends no probes, so that
+/// what a server sees is for commands.
+fn rig_with(primary: Held, replica: Held, sockets: usize) -> (Held, Held, Gateway) {
+    let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, "up", false)];
+    let (discovery, _changes) = discovery(list(1, true, &entries));
+    let settings = SETTINGS.replace("\"dial_timeout\":250000000", "\"dial_timeout\":1500000000");
+    let settings = settings.replace("\"probes\":true", "\"probes\":false");
+    let gateway = Gateway::launch_set(PROGRAM, discovery, sockets, "null", &settings);
+    gateway.wait_ready();
+    (primary, replica, gateway)
+}
+
+fn rig(goes: Goes, sockets: usize) -> (Held, Held, Gateway) {
+    rig_with(Held::start(true, goes), Held::start(false, goes), sockets)
+}
+
+fn query(statement: &str) -> Vec<u8> {
+    message(b'Q', format!("{statement}\0").as_bytes())
+}
+
+/// A read that its client waits long for.
+fn patient(id: u32) -> String {
+    read(id).replace("d=1500", "d=9000")
+}
+
+/// Reads with these ids on, of at least so many bytes together.
+fn ahead(first: u32, bytes: usize) -> Vec<u8> {
+    let mut all = Vec::new();
+    for id in first.. {
+        if all.len() >= bytes {
+            break;
+        }
+        all.extend(query(&patient(id)));
+    }
+    all
+}
+
+/// The ids of all statements that have begun at these servers.
+fn ids(servers: [&Held; 2]) -> Vec<String> {
+    let id = |begun: Begun| match begun {
+        Begun::Whole(statement) => {
+            let id = statement.split("id=").nth(1).and_then(|rest| rest.split(',').next());
+            id.unwrap_or("none").to_string()
+        }
+        other => format!("{other:?}"),
+    };
+    servers.iter().flat_map(|server| server.begun()).map(id).collect()
+}
+
+/// What still comes on a connection until it ends.
+fn rest_of(stream: &mut TcpStream) -> Vec<u8> {
+    let mut rest = Vec::new();
+    if let Err(error) = stream.read_to_end(&mut rest) {
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset, "its end");
+    }
+    rest
+}
+
+/// Guards against attempts for a client whose end lies behind what it had sent ahead: for one that waits for a connection
+/// that is still coming up, one that waits behind an attempt that is out, and one that was sent back.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_behind_what_it_sent_ahead() {
+    for goes in [Goes::Mute, Goes::Reads, Goes::Throttles] {
+        for bytes in [0, 2_000, 8_000, 60_000, 300_000, 500_000, 560_000] {
+            let (primary, replica, gateway) = rig(goes, 64);
+            let mut leaving = gateway.client();
+            leaving
+                .stream
+                .write_all(&[query(&patient(1)), ahead(1_000, bytes)].concat())
+                .expect("it is sent");
+            until("the first attempt", || match goes {
+                Goes::Mute => primary.connected() + replica.connected() > 0,
+                _ => !ids([&primary, &replica]).is_empty(),
+            });
+            leaving.stream.shutdown(Shutdown::Write).expect("it ends");
+            // The gateway gives it up at once: nothing is answered, and the connection ends.
+            let answered = rest_of(&mut leaving.stream);
+            let before = ids([&primary, &replica]);
+            // Those that were sent back may have been answered before the end.
+            if goes != Goes::Throttles {
+                assert_eq!(answered.len(), 0, "{goes:?}, {bytes} ahead: bytes of answers");
+                assert!(before.iter().all(|id| id == "1"), "{goes:?}, {bytes} ahead: {before:?}");
+            }
+            primary.lets(Goes::Answers);
+            replica.lets(Goes::Answers);
+            assert_eq!(gateway.client().ask(&patient(2)), Reply::Value(b"held".to_vec()));
+            let after = ids([&primary, &replica]);
+            let sent = |id: &String| id != "2";
+            let (was, is) = (before.len(), after.iter().filter(|id| sent(id)).count());
+            // One that was sent back may have had its next attempt on the way as the client left.
+            let on_its_way = usize::from(goes == Goes::Throttles);
+            assert!(is <= was + on_its_way, "{goes:?}, {bytes} ahead: {was} before, then {after:?}");
+        }
+    }
+}
+
+/// Guards against a statement that is written for a client that left while the process stood still: the server's welcome
+/// came first, and the client's end is read after it. One client or a burst of them, with and without bytes sent ahead; one
+/// that stays is served.
+#[test]
+fn a_client_is_looked_for_when_its_statement_is_about_to_be_written() {
+    for (count, bytes) in [(1, 0), (1, 40_000), (150, 0), (60, 9_000)] {
+        let (primary, replica, gateway) = rig(Goes::Mute, 1_024);
+        let mut stays = gateway.client();
+        let mut leaving: Vec<Client> = (0..count).map(|_| gateway.client()).collect();
+        for (n, client) in leaving.iter_mut().enumerate() {
+            let n = n as u32;
+            let sent = [query(&patient(10 + n)), ahead(10_000 + 1_000 * n, bytes)].concat();
+            client.stream.write_all(&sent).expect("it is sent");
+        }
+        let connected = || primary.connected() + replica.connected();
+        until("their connections", || connected() >= count.min(4));
+        stays.send(&patient(1));
+        sleep(20 * MS);
+        gateway.signal("STOP");
+        let connected = connected();
+        primary.lets(Goes::Answers);
+        replica.lets(Goes::Answers);
+        until("the welcomes", || primary.welcomed() + replica.welcomed() >= connected);
+        drop(leaving);
+        sleep(NO_LATER + 50 * MS);
+        gateway.signal("CONT");
+        assert_eq!(stays.reply(), Reply::Value(b"held".to_vec()));
+        assert_eq!(gateway.client().ask(&patient(2)), Reply::Value(b"held".to_vec()));
+        let sent = ids([&primary, &replica]);
+        let late = sent.iter().filter(|id| !["1", "2"].contains(&id.as_str())).count();
+        assert_eq!(late, 0, "{count} left, {bytes} ahead: {sent:?}");
+    }
+}
+
+/// Guards against the rest of a statement that is written, and so makes it run, for a client that has gone.
+#[test]
+fn a_statement_that_is_partly_written_is_not_finished_for_a_client_that_left() {
+    let primary = Held::narrow(true, Goes::Welcomes);
+    let (primary, _replica, gateway) = rig_with(primary, Held::start(false, Goes::Answers), 64);
+    let mut leaving = gateway.client();
+    let long = write(1).replace("9f03", &"9f".repeat(65_000)).replace("d=1500", "d=9000");
+    leaving.send(&long);
+    until("its first bytes", || primary.begun() == [Begun::First]);
+    leaving.stream.shutdown(Shutdown::Write).expect("it ends");
+    assert_eq!(rest_of(&mut leaving.stream).len(), 0);
+    primary.lets(Goes::Answers);
+    until("the end of the statement", || primary.begun() != [Begun::First]);
+    assert!(primary.begun() == [Begun::Torn], "it came whole");
+    // One that stays has its long statement written to the end.
+    let mut stays = gateway.client();
+    assert_eq!(stays.ask(&long.replace("id=1,", "id=2,")), Reply::Value(b"held".to_vec()));
+    assert_eq!(primary.begun().len(), 2);
+}
+
+/// Guards against a gateway that works for a client which leaves without having read its answers.
+#[test]
+fn a_client_that_reads_no_answers_and_leaves_gets_no_further_attempt() {
+    let value = Does::Answers(vec![7; 60_000]);
+    let (primary, replica) = (Server::start(true, vec![value.clone()]), Server::start(false, vec![value]));
+    let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, "up", false)];
+    for ends in [true, false] {
+        let (discovery, _changes) = discovery(list(1, true, &entries));
+        let gateway = Gateway::start(PROGRAM, discovery);
+        let asked = || primary.asked().len() + replica.asked().len();
+        let before = asked();
+        let mut leaving = gateway.client();
+        leaving.stream.write_all(&ahead(1, 300_000)).expect("it is sent");
+        // The gateway goes no further than what the sockets hold.
+        let mut last = 0;
+        until("a standstill", || {
+            sleep(150 * MS);
+            std::mem::replace(&mut last, asked()) == asked() && last > before
+        });
+        if ends {
+            leaving.stream.shutdown(Shutdown::Write).expect("it ends");
+            rest_of(&mut leaving.stream);
+        } else {
+            drop(leaving);
+        }
+        let mut other = gateway.client();
+        let seen = asked();
+        for id in 50_000..50_010 {
+            assert!(matches!(other.ask(&read(id)), Reply::Value(_)));
+        }
+        assert!(asked() <= seen + 10 && last - before < 1_000, "{} then {}", seen - before, asked() - before);
+        assert!(seen <= last + 2, "ends {ends}: {last} before, {seen} after its end");
+    }
+}
+
+/// Guards against clients that send ahead without end, whose bytes would fill the memory.
+#[test]
+fn what_clients_send_ahead_takes_a_bounded_memory() {
+    let (primary, replica, gateway) = rig(Goes::Mute, 1_024);
+    let before = gateway.memory();
+    let flood = ahead(100_000, 2_000_000);
+    let mut flooding: Vec<TcpStream> = Vec::new();
+    for n in 0..60 {
+        let mut stream = gateway.client().stream;
+        stream.write_all(&query(&patient(10 + n))).expect("it is sent");
+        stream.set_nonblocking(true).expect("a mode");
+        // As much as the sockets take.
+        for _ in 0..20 {
+            let mut sent = 0;
+            while let Ok(count) = stream.write(&flood[sent..]) {
+                sent += count;
+                if sent == flood.len() {
+                    break;
+                }
+            }
+            if sent < flood.len() {
+                break;
+            }
+        }
+        flooding.push(stream);
+    }
+    assert_eq!(gateway.client().ask(""), Reply::Empty);
+    let more = gateway.memory().saturating_sub(before);
+    println!("{} KiB more", more / 1_024);
+    assert!(more < 24 * 1_024 * 1_024, "{more}");
+    drop(flooding);
+    primary.lets(Goes::Answers);
+    replica.lets(Goes::Answers);
+    assert_eq!(gateway.client().ask(&patient(2)), Reply::Value(b"held".to_vec()));
+}
+
+/// Whether the other side still takes what is sent on a connection that it has ended: one that is closed resets it.
+fn takes_on(stream: &mut TcpStream) -> bool {
+    let bytes = query(&patient(77));
+    let sent = stream.write_all(&bytes).and_then(|()| stream.write_all(&bytes));
+    sent.is_ok() && stream.take_error().is_ok_and(|error| error.is_none())
+}
+
+/// Guards against a close that resets its connection under a command that crosses it, and so may overtake the last answer;
+/// and against that command being sent on: its client sends it again.
+#[test]
+fn a_command_that_crosses_the_end_of_a_resting_connection_meets_no_reset() {
+    let (primary, replica, gateway) = rig(Goes::Answers, 64);
+    let mut clients: Vec<Client> = (0..17).map(|_| gateway.client()).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        assert!(matches!(client.ask(&patient(id as u32)), Reply::Value(_)));
+    }
+    // One more than may rest: the first makes way.
+    assert_eq!(clients[0].reply(), Reply::Ended);
+    assert!(takes_on(&mut clients[0].stream), "it was reset");
+    assert_eq!(rest_of(&mut clients[0].stream), b"");
+    assert!(matches!(clients[16].ask(&patient(18)), Reply::Value(_)));
+    assert!(!ids([&primary, &replica]).contains(&"77".to_string()));
+}
+
+/// Guards against the close of a connection on which a command, or a startup with one behind, lies unread: descriptors run
+/// out in the very moment in which it comes, while the process stands still.
+#[test]
+fn what_lies_unread_when_descriptors_run_out_is_answered() {
+    for silent in [false, true] {
+        let (_primary, _replica, gateway) = rig(Goes::Answers, 64);
+        let mut first = if silent {
+            let stream = TcpStream::connect(gateway.address).expect("the gateway listens");
+            stream.set_read_timeout(Some(BOUND)).expect("a bound");
+            // Long enough to be taken for one that sends no startup.
+            sleep(600 * MS);
+            Client { stream }
+        } else {
+            let mut first = gateway.client();
+            assert!(matches!(first.ask(&patient(1)), Reply::Value(_)));
+            first
+        };
+        let resting: Vec<Client> = (0..8).map(|_| gateway.client()).collect();
+        gateway.signal("STOP");
+        let coming: Vec<TcpStream> =
+            (0..30).map(|_| TcpStream::connect(gateway.address).expect("the kernel accepts")).collect();
+        if silent {
+            first.stream.write_all(START).expect("it is sent");
+        }
+        first.send(&patient(2));
+        gateway.signal("CONT");
+        if silent {
+            assert_eq!(first.reply(), Reply::Ready);
+        }
+        assert_eq!(first.reply(), Reply::Value(b"held".to_vec()), "silent {silent}");
+        drop((resting, coming));
+        assert!(matches!(gateway.client().ask(&patient(3)), Reply::Value(_)));
+    }
+}
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -8,6 +8,7 @@
 use super::{Due, Gateway};
 use crate::wire::client::{Client, InHand, Next};
 use crate::wire::frames;
+use crate::wire::server::Phase;
 use crate::wire::statement::Head;
 
 /// Descriptors kept for what is neither a client's nor a server's: the log, the loop, the listener, signals, peers,
@@ -26,6 +27,8 @@
 /// Messages of one client, and new clients, that are taken before the others have their turn.
 const TURN: usize = 8;
 const TURN_NEW: usize = 64;
+/// What inboxes may hold together before clients' bytes sent ahead wait in their sockets, as a part of the memory.
+const AHEAD_PART: usize = 16;
 /// What inboxes may hold together, as a part of the memory, and from which size on a client is refused for it.
 const INBOX_PART: usize = 4;
 const INBOX_LARGE: usize = 16 * 1_024;
@@ -63,13 +66,16 @@
         while self.clients.count() + self.servers.count() >= most {
             let now = self.clock.now();
             let line = self.servers.idlest().filter(|_| !for_client || self.servers.count() > most / 2);
-            let silent = self.clients.most_silent(now - CLIENT_OPENS);
+            let ended = self.clients.longest_closing(now - LINGER_LEAST);
+            let silent = ended.or_else(|| self.clients.most_silent(now - CLIENT_OPENS));
             if let Some(key) = silent.or_else(|| self.clients.idlest(now - CLIENT_RESTS)) {
-                self.close_client(key);
+                self.make_way(key);
             } else if let Some(key) = line {
                 self.close_line(key);
             } else if let Some(key) = self.clients.idlest(now).or_else(|| self.clients.most_silent(now)) {
-                self.close_client(key);
+                self.make_way(key);
+            } else if let Some(key) = self.clients.longest_closing(now) {
+                self.make_way(key);
             } else {
                 return false;
             }
@@ -77,6 +83,23 @@
         true
     }
 
+    /// Gives up a connection without a command for its descriptor, which is needed at once, unless something has come.
+    /// Guards against a command that lies unread on a connection that is closed, and against the reset that a close over
+    /// unread bytes brings, which would overtake the last answer.
+    fn make_way(&mut self, key: u64) {
+        let Some(client) = self.clients.get(key) else { return };
+        let stays = client.read();
+        if stays && !client.is_closing() && !client.is_idle() && !client.is_silent() {
+            self.resume.push_back(key);
+            return;
+        }
+        if stays && !client.is_closing() {
+            client.close_gently();
+        }
+        client.read();
+        self.close_client(key);
+    }
+
     /// Closes clients that rest while many others are open. Guards against clients that ask once, keep the connection
     /// for good and so use up what clients may hold together: those that have something to ask find none.
     pub(super) fn part_with_resting(&mut self) {
@@ -84,17 +107,18 @@
         while self.clients.open() > most
             && let Some(key) = self.clients.idlest(self.clock.now() - CLIENT_PAUSES)
         {
-            self.close_client(key);
+            self.part_with(key);
+            self.mind(key);
         }
     }
 
     pub(super) fn client_ready(&mut self, key: u64, readiness: Readiness) {
         let Some(client) = self.clients.get(key) else { return };
-        let flushed = client.outbox.is_empty() || client.outbox.flush(&client.stream).is_ok();
-        if !flushed || readiness.readable && !client.read() {
+        if !client.flush() || readiness.readable && !self.stays(key) {
             self.close_client(key);
             return;
         }
+        let Some(client) = self.clients.get(key) else { return };
         // Guards against many clients with long messages at once, which would fill the memory.
         if client.in_hand.is_none()
             && client.inbox.kept() > INBOX_LARGE
@@ -107,6 +131,45 @@
         self.resume.push_back(key);
     }
 
+    /// Reads what is there; false: the client has gone, be it behind what is left unread.
+    fn stays(&mut self, key: u64) -> bool {
+        let Some(client) = self.clients.get(key) else { return false };
+        if !client.read() {
+            return false;
+        }
+        if !client.leaves_unread() {
+            return true;
+        }
+        let room = self.clients.kept() < self.deployment.memory / AHEAD_PART;
+        self.clients.get(key).is_some_and(|client| client.looks_ahead(room))
+    }
+
+    /// Whether the client of a command is there at this moment; one that has gone is given up. Guards against an attempt
+    /// for a client that left unnoticed: the process may have stood still, or been busy with others.
+    pub(super) fn still_waits(&mut self, command: u64) -> bool {
+        let Some(key) = self.clients.client_of(command) else { return false };
+        let stays = self.stays(key);
+        if !stays {
+            self.close_client(key);
+        }
+        stays
+    }
+
+    /// Calls off a dispatch that is not written whole, for a command that is over: it has not run. Guards against a
+    /// statement whose rest is written, and so is run, for a client that has gone.
+    pub(super) fn call_off_unwritten(&mut self, key: u64) {
+        let Some(line) = self.servers.get(key) else { return };
+        if line.job.is_none() || line.written.is_some() {
+            return;
+        }
+        if line.talk.phase == Phase::Ready {
+            self.finish_job(key, Ending::Unsent);
+            self.rest_line(key);
+        } else {
+            self.end_line(key, Ending::Unsent);
+        }
+    }
+
     /// Takes a client's next messages until one is in hand. Guards against a client that sends without end and keeps
     /// the others waiting.
     pub(super) fn serve_client(&mut self, key: u64) {
@@ -138,6 +201,10 @@
     pub(super) fn mind(&mut self, key: u64) {
         let now = self.clock.now();
         let Some(client) = self.clients.get(key) else { return };
+        if client.is_closing() {
+            self.clients.closes(key, now);
+        }
+        let Some(client) = self.clients.get(key) else { return };
         let most = match (&self.listener, self.stops) {
             (None, Some(stops)) => stops.max(now + LINGER_LEAST),
             _ => Micros::MAX,
@@ -222,9 +289,16 @@
         let Some((client, command)) = self.clients.remove(key) else { return };
         self.handle.remove(client.token);
         if let Some(command) = command {
+            let dispatches = self.commands.dispatches(command).unwrap_or(0);
             self.step_left(command);
             self.commands.client_gone(&mut self.router, self.clock.now(), command);
             self.no_longer_held(command);
+            // What is written whole may have run and ends by itself.
+            for dispatch in 0..dispatches {
+                if let Some(line) = self.servers.out(command, dispatch) {
+                    self.call_off_unwritten(line);
+                }
+            }
         }
     }
 }
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -148,11 +148,12 @@
         let due = line.job_due;
         let written = match line.job {
             Some(Job::Command { command, .. }) => {
-                let Some(client) = self.clients.waiting_for(command) else {
-                    // The command was over before its statement could be sent.
-                    self.end_line(key, Ending::Unsent);
+                if !self.still_waits(command) {
+                    // The command was over before its statement could be sent, or is now.
+                    self.call_off_unwritten(key);
                     return;
-                };
+                }
+                let Some(client) = self.clients.waiting_for(command) else { return };
                 let Some(in_hand) = &client.in_hand else { return };
                 let message = &client.inbox.rest()[..in_hand.length];
                 let wait = new_wait(message, &in_hand.wait_at, (due.saturating_sub(now) / 1_000).max(1));
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -17,6 +17,8 @@
     silent: BTreeSet<(Micros, u64)>,
     /// Others without a command in hand, by when they last had one or came.
     resting: BTreeSet<(Micros, u64)>,
+    /// Connections that were ended here and wait for the other side's end, by when they were.
+    closing: BTreeSet<(Micros, u64)>,
 }
 
 impl Clients {
@@ -33,14 +35,34 @@
         }
     }
 
-    /// Connections whose startup is over.
+    /// A connection was ended here. Guards against one that only waits for the other side's end and is taken for one that
+    /// rests.
+    pub fn closes(&mut self, key: u64, now: Micros) {
+        let Some(client) = self.connections.get_mut(&key) else { return };
+        let at = (client.used, key);
+        if !self.closing.contains(&at) {
+            self.silent.remove(&at);
+            self.resting.remove(&at);
+            client.used = now;
+            self.closing.insert((now, key));
+        }
+    }
+
+    /// Connections whose startup is over and that were not ended here.
     pub fn open(&self) -> usize {
-        self.connections.len() - self.silent.len()
+        self.connections.len() - self.silent.len() - self.closing.len()
     }
 
-    /// The connection that came first of those whose startup is not over, and not since `before`.
+    /// The connection that came first of those whose startup has not come in whole, and not since `before`.
     pub fn most_silent(&self, before: Micros) -> Option<u64> {
-        self.silent.first().filter(|(came, _)| *came <= before).map(|(_, key)| *key)
+        let mut silent = self.silent.range(..=(before, u64::MAX)).map(|(_, key)| *key);
+        silent.find(|key| self.connections.get(key).is_some_and(Client::is_silent))
+    }
+
+    /// The connection that was ended here first, not since `before`, and has its last answer.
+    pub fn longest_closing(&self, before: Micros) -> Option<u64> {
+        let mut closing = self.closing.range(..=(before, u64::MAX)).map(|(_, key)| *key);
+        closing.find(|key| self.connections.get(key).is_some_and(Client::is_idle))
     }
 
     pub fn get(&mut self, key: u64) -> Option<&mut Client> {
@@ -111,6 +133,7 @@
         let client = self.connections.remove(&key)?;
         self.silent.remove(&(client.used, key));
         self.resting.remove(&(client.used, key));
+        self.closing.remove(&(client.used, key));
         let in_hand = client.in_hand.as_ref();
         if let Some(in_hand) = in_hand {
             self.waiting.remove(&in_hand.command);
--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -3,6 +3,8 @@
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::TcpStream;
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
 /// Read at a time; also what an idle connection does not keep.
 const CHUNK: usize = 16 * 1_024;
 
@@ -19,6 +21,14 @@
     Broken,
 }
 
+/// Whether the other side has ended, also behind bytes that are still unread. Where the system does not tell, it looks as
+/// if it went on: then only reading on finds the end.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    let mut there = [PollFd::new(stream, PollFlags::RDHUP)];
+    let told = poll(&mut there, Some(&Timespec::default())).is_ok_and(|count| count > 0);
+    told && there[0].revents().contains(PollFlags::RDHUP)
+}
+
 /// Bytes read and not used yet.
 #[derive(Default)]
 pub struct Inbox {
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -8,15 +8,17 @@
 use tansyjunction::interface::Micros;
 use tansyjunction_hosting::Reminder;
 
-use crate::wire::bytes::{Inbox, Outbox, Reading};
+use crate::wire::bytes::{Inbox, Outbox, Reading, has_ended};
 use crate::wire::frames;
 
 /// A value of 64 KiB in hexadecimal, with its statement.
 pub const MESSAGE_MOST: usize = 2 * 65_536 + 4_096;
 /// Beyond this a length is taken for lost framing and not skipped.
 const SKIP_MOST: usize = 64 * 1_024 * 1_024;
-/// Read beyond the command in hand, to notice that its client leaves; the rest waits in the socket.
+/// Read beyond the command in hand, to notice that its client leaves; the rest waits in the socket. The larger figure
+/// holds while there is room: it finds an end behind what was sent ahead, on any system.
 const AHEAD: usize = 4_096;
+const AHEAD_MOST: usize = 512 * 1_024;
 /// Longest startup message, as PostgreSQL has it.
 const OPENING_MOST: usize = 10_000;
 /// How long a startup or a message may take to come in whole: far longer than a slow client's, and short enough that
@@ -116,10 +118,16 @@
         self.phase == Phase::Closing
     }
 
+    /// Without a startup, and none that came in whole.
+    pub fn is_silent(&self) -> bool {
+        let opening = frames::opening(self.inbox.rest(), OPENING_MOST);
+        self.phase == Phase::Opening && matches!(opening, Ok(None))
+    }
+
     /// What it is in the middle of, told by how long that may take and by the messages before it.
     fn in_the_middle(&self) -> Option<(Micros, u64)> {
         let within = match self.phase {
-            Phase::Closing => LINGER,
+            Phase::Closing if self.outbox.is_empty() => LINGER,
             _ if self.in_hand.is_some() || self.kept => return None,
             _ if !self.outbox.is_empty() => READ_WITHIN,
             _ if self.skip > 0 => SKIPPED_WITHIN,
@@ -136,7 +144,8 @@
         changed.then(|| middle.map(|(within, _)| within))
     }
 
-    /// Reads what is there; false: the client has ended.
+    /// Reads what is there; false: the client has ended. One that ends its side right behind a whole command has gone too:
+    /// by the protocol's page a client stays for as long as it waits, and what it sent before is not answered.
     pub fn read(&mut self) -> bool {
         // Guards against clients that send ahead or do not read, whose bytes would fill the memory.
         let most = match &self.in_hand {
@@ -144,6 +153,23 @@
             None if !self.outbox.is_empty() => AHEAD,
             None => MESSAGE_MOST + frames::HEAD,
         };
+        self.read_until(most)
+    }
+
+    /// Whether the last reading left something in the socket; what is dropped is not minded.
+    pub fn leaves_unread(&self) -> bool {
+        self.more && self.phase != Phase::Closing
+    }
+
+    /// Looks for the end behind what [`Client::read`] left unread, reading on where there is `room`; false: the client has
+    /// ended. Guards against attempts for a client that left behind what it had sent ahead.
+    pub fn looks_ahead(&mut self, room: bool) -> bool {
+        let in_hand = self.in_hand.as_ref().filter(|_| room);
+        let most = in_hand.map(|in_hand| in_hand.length + AHEAD_MOST);
+        most.is_none_or(|most| self.read_until(most)) && !(self.more && has_ended(&self.stream))
+    }
+
+    fn read_until(&mut self, most: usize) -> bool {
         let reading = self.inbox.read(&self.stream, most);
         self.more = reading == Reading::Full;
         if self.phase == Phase::Closing {
@@ -273,6 +299,18 @@
         if self.outbox.write(&self.stream, parts).is_err() { Next::Close } else { Next::Answered }
     }
 
+    /// Writes on after the socket was full; false: the connection has broken.
+    pub fn flush(&mut self) -> bool {
+        if self.outbox.is_empty() {
+            return true;
+        }
+        let written = self.outbox.flush(&self.stream).is_ok();
+        if self.phase == Phase::Closing && self.outbox.is_empty() {
+            self.end_sending();
+        }
+        written
+    }
+
     /// The command in hand has been answered.
     pub fn answered(&mut self) -> Option<InHand> {
         let in_hand = self.in_hand.take()?;
@@ -284,6 +322,13 @@
     pub fn close_gently(&mut self) {
         self.phase = Phase::Closing;
         self.inbox.consume(usize::MAX);
+        // Guards against an end that cuts off an answer which the socket has not taken yet.
+        if self.outbox.is_empty() {
+            self.end_sending();
+        }
+    }
+
+    fn end_sending(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -115,6 +115,126 @@
     }
 }
 
+/// How far a held server goes with those that connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Goes {
+    /// Takes connections and says nothing.
+    Mute,
+    /// Welcomes, and reads no more than the first bytes of a statement.
+    Welcomes,
+    /// Reads statements and keeps its answers to itself.
+    Reads,
+    /// Turns each statement away.
+    Throttles,
+    /// Answers each statement.
+    Answers,
+}
+
+/// A statement as far as a held server has read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begun {
+    /// Its first bytes have come.
+    First,
+    Whole(String),
+    /// Its connection ended before it was whole.
+    Torn,
+}
+
+struct Hold {
+    goes: Goes,
+    connected: usize,
+    welcomed: usize,
+    begun: Vec<Begun>,
+}
+
+/// A server that goes as far as its test lets it and notes each statement from its first bytes on.
+pub struct Held {
+    pub address: SocketAddr,
+    hold: Arc<(Mutex<Hold>, Condvar)>,
+}
+
+impl Held {
+    pub fn start(primary: bool, goes: Goes) -> Self {
+        Held::listen(TcpListener::bind("127.0.0.1:0").expect("a port"), primary, goes)
+    }
+
+    /// One whose connections take little before it reads: a long statement is written to it in parts.
+    pub fn narrow(primary: bool, goes: Goes) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let socket = socket2::SockRef::from(&listener);
+        socket.set_recv_buffer_size(4_096).and_then(|()| socket.set_tcp_mss(536)).expect("options");
+        Held::listen(listener, primary, goes)
+    }
+
+    fn listen(listener: TcpListener, primary: bool, goes: Goes) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let hold = Hold { goes, connected: 0, welcomed: 0, begun: Vec::new() };
+        let hold = Arc::new((Mutex::new(hold), Condvar::new()));
+        let shared = hold.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let hold = shared.clone();
+                thread::spawn(move || Held::talk(stream, primary, &hold));
+            }
+        });
+        Held { address, hold }
+    }
+
+    fn talk(mut stream: TcpStream, primary: bool, hold: &(Mutex<Hold>, Condvar)) -> Option<()> {
+        frames::read(&mut stream, false).ok()?;
+        let locked = || hold.0.lock().expect("the hold");
+        let wait = |goes: Goes| -> MutexGuard<Hold> {
+            hold.1.wait_while(locked(), |hold| hold.goes < goes).expect("the hold")
+        };
+        locked().connected += 1;
+        drop(wait(Goes::Welcomes));
+        let ready = message(b'Z', b"I");
+        stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
+        locked().welcomed += 1;
+        loop {
+            let mut first = [0; 5];
+            stream.read_exact(&mut first).ok()?;
+            let place = {
+                let mut hold = locked();
+                hold.begun.push(Begun::First);
+                hold.begun.len() - 1
+            };
+            drop(wait(Goes::Reads));
+            let Ok((_, body)) = frames::read(&mut (&first[..]).chain(&mut stream), true) else {
+                locked().begun[place] = Begun::Torn;
+                return None;
+            };
+            locked().begun[place] = Begun::Whole(String::from_utf8_lossy(&body).into());
+            let answers = wait(Goes::Throttles).goes == Goes::Answers;
+            let status = if primary { &b"recovery\0off\0"[..] } else { b"recovery\0on\0" };
+            let said = if answers { row(b"held") } else { frames::error("53300", "full") };
+            stream.write_all(&[said, message(b'S', status), ready.clone()].concat()).ok()?;
+        }
+    }
+
+    fn look<T>(&self, at: impl FnOnce(&mut Hold) -> T) -> T {
+        at(&mut self.hold.0.lock().expect("the hold"))
+    }
+
+    pub fn lets(&self, goes: Goes) {
+        self.look(|hold| hold.goes = goes);
+        self.hold.1.notify_all();
+    }
+
+    /// How many connections have brought their startup, and how many have been welcomed.
+    pub fn connected(&self) -> usize {
+        self.look(|hold| hold.connected)
+    }
+
+    pub fn welcomed(&self) -> usize {
+        self.look(|hold| hold.welcomed)
+    }
+
+    pub fn begun(&self) -> Vec<Begun> {
+        self.look(|hold| hold.begun.clone())
+    }
+}
+
 pub fn entry(host: &str, address: SocketAddr, health: &str, primary: bool) -> String {
     let recovery = if primary { "off" } else { "on" };
     format!(
@@ -181,12 +301,24 @@
     /// Starts it, with the list that it had last, and does not wait. Each has an address of its own, so that no port is
     /// given to another one meanwhile.
     pub fn launch(program: &str, discovery: SocketAddr, sockets: usize, known: &str) -> Self {
+        Gateway::launch_set(program, discovery, sockets, known, SETTINGS)
+    }
+
+    /// The same with these settings.
+    pub fn launch_set(
+        program: &str,
+        discovery: SocketAddr,
+        sockets: usize,
+        known: &str,
+        settings: &str,
+    ) -> Self {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let n = NUMBER.fetch_add(1, Ordering::SeqCst);
         let own = format!("127.0.{}.{}:0", 1 + n / 200, 1 + n % 200);
         let free = TcpListener::bind(own).and_then(|l| l.local_addr()).expect("a free port");
         let path = std::env::temp_dir().join(format!("tansyjunction-{}-{n}.json", std::process::id()));
-        let gateway_config = Gateway::config(free, &discovery.to_string(), sockets, known);
+        let gateway_config =
+            Gateway::config(free, &discovery.to_string(), sockets, known).replace(SETTINGS, settings);
         std::fs::write(&path, gateway_config).expect("a file");
         let child = Command::new(program)
             .args(["serve", "--config"])
@@ -221,6 +353,14 @@
         Client::connect(self.address, BOUND).expect("the gateway listens")
     }
 
+    /// How much memory it holds now, in bytes.
+    pub fn memory(&self) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse::<usize>().expect("a figure") * 1_024
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(sent.expect("a shell").success());
@@ -244,7 +384,7 @@
     }
 }
 
-const SETTINGS: &str = r#"{"balancers":1,"me":0,"my_zone":"a","localities":["a"],"round":5000000,"categories":[
+pub const SETTINGS: &str = r#"{"balancers":1,"me":0,"my_zone":"a","localities":["a"],"round":5000000,"categories":[
     {"name":"look","aim":400000000,"hard_limit":1500000000,"effect":"pure","worth":1.0},
     {"name":"once","aim":400000000,"hard_limit":1500000000,"effect":"side_effect","worth":1.0},
     {"name":"keyed","aim":400000000,"hard_limit":1500000000,"effect":"token","window":1000000000}],
