--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -151,7 +151,8 @@
         self.end_line(key, ending);
     }
 
-    /// Whether a connection's job may go on to be written: the router is asked again, and so are the holds.
+    /// Whether a connection's job may go on to be written: its client is looked for, and the router and the holds are asked
+    /// again.
     /// Guards against a statement that waited for its connection or lay half written in it, while its server
     /// began to drain, its window for repeats ran out or its data grew too old. It ends as never sent, and with
     /// it a connection that has a part of it.
@@ -159,17 +160,14 @@
         let now = self.clock.now();
         let Some(line) = self.servers.get(key).filter(|line| line.written.is_none()) else { return true };
         let Some(Job::Command { command, dispatch }) = line.job else { return true };
-        let (server, unused) = (line.server, line.talk.phase == Phase::Ready);
-        if self.may_go(command, server) && self.commands.may_write(&mut self.router, now, command, dispatch) {
-            return true;
+        let server = line.server;
+        let may = self.still_waits(command)
+            && self.may_go(command, server)
+            && self.commands.may_write(&mut self.router, now, command, dispatch);
+        if !may {
+            self.call_off_unwritten(key);
         }
-        if unused {
-            self.finish_job(key, Ending::Unsent);
-            self.rest_line(key);
-        } else {
-            self.end_line(key, Ending::Unsent);
-        }
-        false
+        may
     }
 
     /// The list has changed: what waits to be written is judged at once, so that it has time to go elsewhere.
@@ -204,11 +202,7 @@
         let due = line.job_due;
         let written = match line.job {
             Some(Job::Command { command, .. }) => {
-                let Some(client) = self.clients.waiting_for(command) else {
-                    // The command was over before its statement could be sent.
-                    self.end_line(key, Ending::Unsent);
-                    return;
-                };
+                let Some(client) = self.clients.waiting_for(command) else { return };
                 let Some(in_hand) = &client.in_hand else { return };
                 let message = &client.inbox.rest()[..in_hand.length];
                 let wait = new_wait(message, &in_hand.wait_at, (due.saturating_sub(now) / 1_000).max(1));
