--- a/crates/cli/tests/ending.rs
+++ b/crates/cli/tests/ending.rs
@@ -2,7 +2,6 @@
 //! run out, and clients that flood. The program on sockets.
 
 #[path = "rig/agent.rs"]
-#[allow(dead_code)]
 mod agent;
 
 use std::io::{Read, Write};
