A disk that is gone is replaced though leaders stand still now and then

Seen: a seat that came back without its disk was not seated for 30 s on busy machines, though a leader stood (docs/duties.md, Open). Cause: Council::moved (crates/council/src/council.rs), which runs after each pause of more than three beats, took every disk for heard of just now and the lead for begun just now. Where a leader stands still for some beats every few seconds, no silence ever lasts replace_after (5 s), and a lost disk keeps its seat. Ruled out: knocks that get lost (sent again every ask_every). Change: what was missed while the process stood still counts for nobody's silence, as before; silence from before it goes on counting. Test in virtual time, six seeds, a leader that stands still for half of each second; without the change: 'seed 0: Status { role: Stranger, ... seats: {n0, n1, n2} }' after 16 s.

--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -649,13 +649,16 @@
         }
     }
 
-    /// The process stood still: what was due starts anew, and nobody's silence in the meantime counts.
+    /// The process stood still: what was due starts anew, and nobody's silence in the meantime counts. What was silent before
+    /// does. Guards against a disk that is gone and never replaced, where leaders stand still for some beats every few seconds.
     pub fn moved(&mut self, now: Micros) {
+        let meantime = now.saturating_sub(self.tick_due);
         (self.tick_due, self.ask_due, self.council_heard) = (now + self.terms.beat, now, now);
         self.pending.values_mut().for_each(|pending| pending.tried = None);
         if let Some(seat) = &mut self.seat {
-            seat.heard.values_mut().for_each(|(_, at)| *at = now);
-            seat.led_since = now;
+            let later = |at: Micros| (at + meantime).min(now);
+            seat.heard.values_mut().for_each(|(_, at)| *at = later(*at));
+            seat.led_since = later(seat.led_since);
             seat.knocks.clear();
         }
     }
--- a/crates/council/tests/council/faults.rs
+++ b/crates/council/tests/council/faults.rs
@@ -185,6 +185,30 @@
     }
 }
 
+/// On a busy machine whoever leads stands still for some beats now and then. What it could not hear meanwhile counts for
+/// nobody's silence, and all else does: a disk that is gone is replaced, though no five seconds pass without such a pause.
+#[test]
+fn a_lost_disk_is_replaced_by_leaders_that_stand_still_now_and_then() {
+    for seed in 0..6 {
+        let mut net = Net::new(seed, terms(3), 3, 1);
+        net.gathered(3);
+        let number = (net.leader().expect("a leader") + 1) % 3;
+        net.kill(number, u64::MAX);
+        net.plate(number, |plate| plate.memory = Memory::new(5_000 + seed));
+        net.start(number);
+        for _ in 0..16 {
+            if let Some(leader) = net.leader() {
+                net.nodes[leader].paused = net.now + SECOND / 2;
+            }
+            net.run_for(SECOND);
+        }
+        let status = net.council(number).status();
+        assert!(matches!(status.role, Role::Seat | Role::Leader), "seed {seed}: {status:?}");
+        net.heal();
+        assert_eq!(net.judge.broken, [], "seed {seed}");
+    }
+}
+
 /// An older copy of a disk that still sits is found out before it promises anything a second time.
 #[test]
 fn an_older_copy_of_a_disk_is_found_out() {
