What is placed anew as several servers restart in one list is written once

Seen on reading the whole change again, then provoked: two servers restart in one list, reads wait for connections to the first; the second got each of some reads twice. Cause: Gateway::listed ended the worthless connections server by server as Unsent. What waited for the first was placed anew at once, and could be written to an idle connection of the second that was next in the row: ended as Unsent as well, it counted as never run and went out again. For a class that may not be repeated that is an effect twice. Ruled out: a copy (not allowed in the test's settings), a reset. Change: all idle connections are closed first; then what waits is called off, by the one call that looks whether it was written.

--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -137,6 +137,41 @@
     }
 }
 
+/// Guards against what is placed anew while connections to other processes that are no more still stand: it would be written
+/// to one of those, which is closed right behind it, and count as never sent.
+#[test]
+fn what_is_placed_anew_as_several_servers_restart_is_written_once() {
+    let (held, free) = (late(false, "held", 0), plain(false, "free"));
+    let primary = plain(true, "primary");
+    let listed = |version, whole, born: &str| {
+        let entries = [
+            entry("s1", held.address, "up", false).replace(r#""born_ms":0"#, born),
+            entry("s2", free.address, "up", false).replace(r#""born_ms":0"#, born),
+            entry("s3", primary.address, "up", true),
+        ];
+        list(version, whole, &entries)
+    };
+    let (discovery, changes) = discovery(listed(1, true, r#""born_ms":0"#));
+    let gateway = Gateway::with_settings(PROGRAM, discovery, &settings("await", 4));
+    let mut clients: Vec<Client> = (0..16).map(|_| gateway.client()).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        client.send(&statement("look", id as u32 + 1, 5_000));
+        until("the read at a server", || held.came() + free.asked().len() == id + 1);
+    }
+    assert!(held.came() > 1 && free.came() > 0, "{} wait, {} were served", held.came(), free.asked().len());
+    changes.send(listed(2, false, r#""born_ms":1767225600000"#)).expect("a watch");
+    until("another connection", || free.asked().len() + held.came() > 16);
+    held.pass(usize::MAX);
+    for client in &mut clients {
+        assert!(matches!(client.reply(), Reply::Value(_)));
+    }
+    let asked = [held.asked(), free.asked(), primary.asked()].concat();
+    for id in 1..=16 {
+        let count = asked.iter().filter(|asked| asked.contains(&format!("id={id},"))).count();
+        assert_eq!(count, 1, "of {id}");
+    }
+}
+
 /// What reached a server before it was told draining or gone is finished there.
 #[test]
 fn an_answer_of_a_server_that_leaves_still_counts() {
--- a/crates/gateway/src/gateway/discovery.rs
+++ b/crates/gateway/src/gateway/discovery.rs
@@ -288,10 +288,13 @@
         if self.deployment.gone_binds {
             self.forget_gone(&left_out);
         }
-        // Guards against what waits for a process that is no more: at the new one, which is cold, it is placed anew.
-        for key in worthless {
-            self.end_line(key, Ending::Unsent);
-        }
+        // Guards against what waits for a process that is no more: at the new one, which is cold, it is placed anew. Idle
+        // connections go first, all of them: what is placed anew must not be written to one, and then count as never sent.
+        let (waiting, idle): (Vec<u64>, Vec<u64>) = worthless
+            .into_iter()
+            .partition(|key| self.servers.get(*key).is_some_and(|line| line.job.is_some()));
+        idle.into_iter().for_each(|key| self.close_line(key));
+        waiting.into_iter().for_each(|key| self.call_off_unwritten(key));
         self.judge_unwritten();
     }
 
