Late groups spare their primary, and unchecked replicas are asked where they stand

At fault: read_target (the primary at once where no replica is known fresh; the primary whatever its group turns away), place (writes exempt from what a late group turns away; a write sent late to the primary that it had left). Change: where servers do not check, the nearest replica that may be fresh is asked first, for a quarter of the response target at most; among many routers a late group turns writes away as well, sends no reads on to its primary, and a write that searched in vain is turned away. Four decision tests, each seen to fail without its mend. Test changed: many_routers_let_fewer_reads_through... is many_routers_let_fewer_commands_through..., and holds writes as well.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -482,7 +482,7 @@
         }
         // Guards against many routers, none with commands enough for a room to bind, that send on to a late
         // group, whatever the cause: clients that try again keep it late. It hurts if few members are late.
-        if shed > 0.0 && kind.need != Need::Write && (self.chance.below(LOTS) as f64) < shed * LOTS as f64 {
+        if shed > 0.0 && (self.chance.below(LOTS) as f64) < shed * LOTS as f64 {
             return self.give_up(held, &kind);
         }
         let out = held.dispatches.iter().filter(|d| d.ended.is_none());
@@ -518,12 +518,15 @@
         let server =
             if read { self.read_target(now, held, &kind) } else { self.write_target(now, held, &kind) };
         let overdue = waited as f64 > kind.response_target as f64 * HELD_MOST;
-        let Some(server) = server else {
+        // Only room is missing where there is a well primary; a read may go to any member.
+        let group = self.groups.get(&cmd.group);
+        let primary = group.and_then(|group| group.primary);
+        let room = kind.need != Need::Write || primary.is_some_and(|server| self.there(now, server));
+        // Guards against writes of many routers that searched in vain and come late to one that was only slow.
+        let searched = !read && held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed));
+        let old = searched && room && overdue && group.is_some_and(|group| group.led < cmd.arrived);
+        let Some(server) = server.filter(|_| !old || self.number("routers", 1.0) <= ROOM_START) else {
             let spent = kind.need != Need::Write && failed(held) >= READ_TRIES;
-            // Only room is missing where there is a well primary; a read may go to any member.
-            let group = self.groups.get(&cmd.group);
-            let primary = group.and_then(|group| group.primary);
-            let room = kind.need != Need::Write || primary.is_some_and(|server| self.there(now, server));
             let away = |s: &&usize| self.members[*s].serving && !self.there(now, **s);
             let unsent = group.is_none_or(|group| group.members.iter().filter(away).count() > 1)
                 && waited as f64 > cmd.client_timeout.saturating_sub(cmd.arrived) as f64 * UNSENT_MOST
@@ -684,11 +687,12 @@
             group.members.iter().copied().filter(|s| group.primary != Some(*s)).filter(usable).collect();
         let fresh = |s: &usize| bound.is_none_or(|b| self.fresh(now, *s, b, guarded));
         let fresh: Vec<usize> = replicas.iter().copied().filter(fresh).collect();
+        let room = |s: &usize| self.has_room(now, cmd, *s, kind, 1.0);
         let tie = cmd.session.and_then(|session| self.ties.get(&session)).copied();
         if let Some((server, command_group, age)) = tie
             && (command_group, age) == (cmd.command_group, group.age)
             && fresh.contains(&server)
-            && self.has_room(now, cmd, server, kind, 1.0)
+            && room(&server)
         {
             return Some(server);
         }
@@ -696,12 +700,11 @@
             (kind.response_target as f64 * CROWDED, self.number("routers", 1.0) > ROOM_START);
         // Guards against reads that many thin routers send on to a primary that is late with its writes.
         let primary = group.primary.filter(|s| usable(s) && self.has_room(now, cmd, *s, kind, READ_ROOM));
-        let primary = primary.filter(|s| !many || self.waiting(now, &self.members[s]) < crowded);
+        let wait = |s: &usize| self.waiting(now, &self.members[s]);
+        let primary = primary.filter(|s| !many || group.shed <= 0.0 && wait(s) < crowded);
         // A long read may keep its replica from applying the log: the one furthest behind with room gets it.
         if self.long(kind) {
-            let spare = |s: &usize| {
-                self.has_room(now, cmd, *s, kind, 1.0) && self.waiting(now, &self.members[s]) < crowded
-            };
+            let spare = |s: &usize| room(s) && wait(s) < crowded;
             // The most advanced stays free for reads with a bound, if there is another. Guards against
             // routers that gather theirs elsewhere: how far behind it last said to be counts, then the list.
             let by = |member: &Member| member.placed.saturating_sub(member.position) / REPORT_AGE;
@@ -716,26 +719,34 @@
             let lead = primary.filter(|s| fresh.is_empty() || quiet(*s));
             return if only { lead.or(behind) } else { behind.or(lead) };
         }
-        let roomy: Vec<usize> =
-            fresh.iter().copied().filter(|s| self.has_room(now, cmd, *s, kind, 1.0)).collect();
+        let roomy: Vec<usize> = fresh.iter().copied().filter(room).collect();
         if !roomy.is_empty() {
             // Where all replicas are crowded and the primary is not, none is left for the read.
-            let wait = |s: usize| self.waiting(now, &self.members[&s]);
-            let least = roomy.iter().map(|s| wait(*s)).fold(f64::INFINITY, f64::min);
-            if let Some(primary) = primary.filter(|s| wait(*s) + crowded < least) {
+            let least = roomy.iter().map(wait).fold(f64::INFINITY, f64::min);
+            if let Some(primary) = primary.filter(|s| wait(s) + crowded < least) {
                 return Some(primary);
             }
             return self.nearest(now, &roomy, kind);
         }
+        // Guards against reads that crowd a primary since a thin router knows no replica to be fresh: where
+        // servers do not check, the nearest that may be is asked, once, as its report tells where it stands.
+        if let Some(bound) = bound.filter(|_| !guarded && self.seen.probes_tell && waited as f64 <= crowded) {
+            let asked = replicas.iter().map(|s| &self.members[s]).find(|m| m.probed >= Some(cmd.arrived));
+            let out = asked.map(|member| member.probe_out);
+            let may = |s: &usize| self.fresh(now, *s, bound, true) && self.has_room(now, cmd, *s, kind, 1.0);
+            let may: Vec<usize> = replicas.iter().copied().filter(|s| out.is_none() && may(s)).collect();
+            let ask = self.nearest(now, &may, kind);
+            self.asked.extend(ask);
+            if ask.is_some() || out == Some(true) {
+                return None;
+            }
+        }
         // No replica left: the primary; where servers check the bound, the most advanced replica first.
         if guarded && fresh.is_empty() && !held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed)) {
-            let advanced = replicas.iter().copied().filter(|s| {
-                self.has_room(now, cmd, *s, kind, 1.0) && !bound.is_some_and(|b| self.hopeless(now, *s, b))
-            });
-            let advanced = advanced.max_by_key(|s| (self.members[s].position, *s));
-            if advanced.is_some() {
-                return advanced;
-            }
+            let hopeless = |s: &usize| bound.is_some_and(|b| self.hopeless(now, *s, b));
+            let may = |s: &usize| self.has_room(now, cmd, *s, kind, 1.0) && !hopeless(s);
+            let advanced = replicas.iter().copied().filter(may);
+            return advanced.max_by_key(|s| (self.members[s].position, *s)).or(primary);
         }
         primary
     }
@@ -762,7 +773,7 @@
         // Waiting times are noisy by about one command's work, pings are not.
         let window = LATENCY_WINDOW + kind.prompt;
         let pool: Vec<usize> = pool.into_iter().filter(|s| cost(s) <= lowest + window).collect();
-        Some(pool[self.chance.below(pool.len())])
+        pool.get(self.chance.below(pool.len())).copied()
     }
 
     /// Whether a replica reaches `bound`: known to, or where it checks itself, not known to fall short.
@@ -795,15 +806,10 @@
         member.serving && !member.down && !silent && !failing && !shut
     }
 
-    /// Well, or busy, which its probes may tell though it is silent.
+    /// Well, or silent for its queue alone, of which it told. Guards against taking a busy one as stopped.
     fn there(&self, now: Micros, server: usize) -> bool {
-        self.well(now, server) || self.busy(now, server)
-    }
-
-    /// Silent for its queue alone, of which it told. Guards against taking an overloaded one as stopped.
-    fn busy(&self, now: Micros, server: usize) -> bool {
         let told = |m: &Member| m.told_queue(now, 2 * QUEUE_TELLS).is_some_and(|queue| queue >= 1.0);
-        self.members.get(&server).is_some_and(|m| m.serving && told(m))
+        self.well(now, server) || self.members.get(&server).is_some_and(|m| m.serving && told(m))
     }
 
     /// Not well for failed connections alone, perhaps this router's trouble: a primary is worth a try soon.
@@ -923,9 +929,8 @@
         if let Some(report) = outcome.report {
             self.note(now, dispatch.server, report, now.saturating_sub(REPORT_AGE));
         }
-        if matches!(outcome.ending, Ending::Reset | Ending::Unconnected)
-            && let Some(session) = held.command.session
-        {
+        let broke = matches!(outcome.ending, Ending::Reset | Ending::Unconnected);
+        if let Some(session) = held.command.session.filter(|_| broke) {
             self.ties.remove(&session);
         }
         if !outcome.over {
@@ -942,10 +947,8 @@
         let long = self.kinds.get(k).is_some_and(|kind| self.long(kind));
         let patience = self.kinds.get(k).map_or(0, |kind| self.patience(kind));
         let routers = self.number("routers", 1.0);
-        let (Some(member), Some(kind)) = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k))
-        else {
-            return;
-        };
+        let known = (self.members.get_mut(&dispatch.server), self.kinds.get_mut(k));
+        let (Some(member), Some(kind)) = known else { return };
         if let Some(place) = member.out.iter().position(|o| *o == (dispatch.sent, k)) {
             member.out.swap_remove(place);
         }
@@ -966,7 +969,7 @@
             seen.queue_base = (seen.queue_base + off / scale).max(0.0);
             seen.queue_step = (seen.queue_step + off * queue * QUEUE_STEP.powi(2) / scale).max(0.0);
         }
-        let mut step = 0.0;
+        let (mut step, slow) = (0.0, outcome.took as f64 > target * ROOM_WAIT);
         match outcome.ending {
             Ending::Answered => {
                 let took = outcome.took as f64;
@@ -1001,8 +1004,7 @@
                 member.short_of = bound.map(|bound| (bound, now)).or(member.short_of);
             }
             Ending::SentBack => {
-                member.answered_at = now;
-                step = -SHED_LATE;
+                (member.answered_at, step) = (now, -SHED_LATE);
                 member.shrink();
             }
             Ending::Errored => {
@@ -1030,11 +1032,7 @@
             }
             Ending::Unconnected | Ending::Reset => member.refused(now, dispatch.sent, outcome.ending),
             // Guards against taking lost answers for a queue: where later ones were answered, room stays.
-            Ending::TimedOut | Ending::Recalled
-                if member.proved <= dispatch.sent && outcome.took as f64 > target * ROOM_WAIT =>
-            {
-                member.shrink()
-            }
+            Ending::TimedOut | Ending::Recalled if slow && member.proved <= dispatch.sent => member.shrink(),
             Ending::TimedOut | Ending::Recalled | Ending::Unsent => {}
         }
         if let Some(group) = self.groups.get_mut(&held.command.group).filter(|_| routers > ROOM_START) {
@@ -1103,7 +1101,7 @@
                 let member = self.members.get_mut(server).filter(|m| m.serving && !m.probe_out);
                 let Some(member) = member else { continue };
                 let every = if sought { SEARCH_EVERY } else { paced };
-                let every = if member.down { every.min(PROBE_DOWN) } else { every };
+                let every = every.min(if member.down { PROBE_DOWN } else { PROBE_MOST });
                 let next = member.probed.map_or(now, |at| at + every);
                 if next <= now {
                     (member.probed, member.probe_out) = (Some(now), true);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -924,6 +924,114 @@
     }
 }
 
+#[test]
+fn reads_of_a_late_group_are_not_sent_on_to_its_primary() {
+    // Guards against hundreds of routers whose reads, for want of a fresh replica, take what a late group's primary
+    // has left for writes. The answers that were late are those of a replica; the primary's own are prompt.
+    for (routers, took, sent) in [(300.0, 20, true), (300.0, 400, false), (3.0, 400, true)] {
+        let mut store =
+            Store::behind(&[("routers", Value::Number(routers))], &[0, 30_000 * MS, 30_000 * MS], 0);
+        for _ in 0..20 {
+            store.now += 500 * MS;
+            let mut held = store.command(ANY);
+            store.put(&mut held, 1);
+            store.end(&mut held, Ending::Answered, took * MS);
+        }
+        for server in 0..3 {
+            store.probe(server, MS, server == 0, if server == 0 { 0 } else { 30_000 * MS });
+        }
+        let sent_on = store.taken(BOUNDED, 200);
+        assert_eq!(sent_on > 0, sent, "{routers} routers, {took} ms: {sent_on}");
+    }
+}
+
+#[test]
+fn where_servers_do_not_check_the_nearest_replica_is_asked_before_a_read_goes_to_the_primary() {
+    // Guards against thin routers that know no replica to be fresh, and so send all reads with a bound to primaries. What
+    // the replica tells that is asked, and whether the read goes to it; it is asked once, and not waited for beyond a
+    // quarter of the response target.
+    let unchecked = [("guards", Value::Text("none".into())), ("routers", Value::Number(300.0))];
+    let asked = |store: &mut Store| {
+        let probes = store.router.wait(store.now, None).probes;
+        probes.into_iter().filter(|server| *server != 0).collect::<Vec<_>>()
+    };
+    for (tells, goes) in
+        [(Some(Some(0)), true), (Some(Some(5_000 * MS)), false), (Some(None), false), (None, false)]
+    {
+        let mut store = Store::calm(&unchecked);
+        // The ordinary probes have been sent and answered.
+        store.answered(ANY, 1, MS);
+        for server in store.router.wait(store.now, None).probes {
+            store.probe(server, MS, server == 0, 0);
+        }
+        store.now += 3_000 * MS;
+        let read = store.command(BOUNDED);
+        assert_eq!(store.place(&read), Place::NotYet, "nobody is known to be fresh");
+        let servers = asked(&mut store);
+        assert_eq!(servers.len(), 1, "{servers:?}");
+        store.now += 5 * MS;
+        assert_eq!(store.place(&read), Place::NotYet, "its answer is on its way");
+        match tells {
+            Some(Some(behind)) => store.probe(servers[0], MS, false, behind),
+            Some(None) => {
+                store.probe_fails(servers[0], Ending::TimedOut);
+                // One that is down is none to wait for: the other is asked.
+                assert_eq!(store.place(&read), Place::NotYet);
+                assert_eq!(asked(&mut store), [3 - servers[0]]);
+                store.now += 125 * MS;
+            }
+            None => store.now += 125 * MS,
+        }
+        let expected = if goes { servers[0] } else { 0 };
+        let placed = store.place(&read);
+        assert!(
+            matches!(placed, Place::Dispatch { server, .. } if server == expected),
+            "{tells:?}: {placed:?}"
+        );
+        assert_eq!(asked(&mut store), Vec::<usize>::new());
+    }
+    // Those that are known to be too far behind are not asked, nor is anybody where probes tell nothing.
+    let mut behind = Store::behind(&unchecked, &[0, 5_000 * MS, 5_000 * MS], 0);
+    let mut silent = Store::behind(&unchecked, &[], 0);
+    silent.list(&[(0, 0, true), (1, 0, false), (2, 0, false)]);
+    for server in 0..3 {
+        silent.router.probed(silent.now, server, MS, Ending::Answered, None);
+    }
+    for store in [&mut behind, &mut silent] {
+        let mut read = store.command(BOUNDED);
+        assert_eq!(store.sent(&mut read), 0);
+    }
+}
+
+#[test]
+fn a_write_that_searched_in_vain_comes_late_to_no_primary_that_was_only_slow() {
+    // Guards against writes that go round the replicas of a busy primary and then reach it with little time left, where
+    // they time out and keep others waiting. To a primary that is new since it arrived it goes, late or not.
+    for (routers, new, goes) in [(300.0, None, None), (2.0, None, Some(0)), (300.0, Some(2), Some(2))] {
+        let mut store = Store::calm(&[("routers", Value::Number(routers))]);
+        let mut slow = store.command(MUTATING);
+        assert_eq!(store.sent(&mut slow), 0);
+        store.now += 400 * MS;
+        let mut write = store.command(MUTATING);
+        for _ in 0..2 {
+            assert_ne!(store.sent(&mut write), 0, "a silent primary is left for others");
+            store.end(&mut write, Ending::Missed, MS);
+        }
+        store.now += 150 * MS;
+        store.end_one(&mut slow, 0, Ending::Answered, 552 * MS);
+        if let Some(server) = new {
+            store.now += MS;
+            store.probe(server, MS, true, 0);
+        }
+        store.now += 50 * MS;
+        match (store.place(&write), goes) {
+            (Place::Dispatch { server, .. }, Some(expected)) => assert_eq!(server, expected),
+            (Place::Never(Final::Throttled { .. }), None) => {}
+            (other, _) => panic!("{routers} routers, {new:?}: {other:?}"),
+        }
+    }
+}
+
 #[test]
 fn a_group_that_was_late_is_asked_for_its_queues() {
     // Guards against thin routers that send into long queues for want of own evidence. Queues told by members 1
@@ -1131,12 +1239,15 @@
 }
 
 #[test]
-fn many_routers_let_fewer_reads_through_while_answers_are_late() {
+fn many_routers_let_fewer_commands_through_while_answers_are_late() {
     // Guards against hundreds of routers with too few commands each for a room to bind, which keep all members late.
-    for (routers, fewer) in [(300.0, true), (3.0, false)] {
+    // Writes have a part in that: a primary that is full of them answers none in time.
+    for (routers, fewer, command_group) in
+        [(300.0, true, BOUNDED), (3.0, false, BOUNDED), (300.0, true, MUTATING), (3.0, false, MUTATING)]
+    {
         let mut store = Store::calm(&[("routers", Value::Number(routers))]);
         let throttled = |store: &mut Store| {
-            (0..200).filter(|_| matches!(store.place(&store.command(BOUNDED)), Place::Never(_))).count()
+            (0..200).filter(|_| matches!(store.place(&store.command(command_group)), Place::Never(_))).count()
         };
         for (took, late) in [(400, true), (20, false)] {
             for _ in 0..40 {
