--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,7 +13,7 @@
 //!    long reads gather where data is old already, so that they don't crowd out the log elsewhere.
 //! 3. Copies: a read that outlasts its patience, or a write that seems lost, gets another out of a budget.
 //! 4. Room: a member gets as many commands at once as it answers in time, and none beyond the queue that it
-//!    told when asked; the rest is held, then throttled. Many routers turn part of a late group's reads away.
+//!    told when asked; the rest is held, then throttled. Many routers turn part of a late group's away.
 //! 5. Warming: a cold member gets the part of an average one's commands that its warmth allows, by lot.
 //! 6. Search: without a well primary, writes and faster probes look for the next one.
 
@@ -522,7 +522,7 @@
         let group = self.groups.get(&cmd.group);
         let primary = group.and_then(|group| group.primary);
         let room = kind.need != Need::Write || primary.is_some_and(|server| self.there(now, server));
-        // Guards against writes of many routers that searched in vain and come late to one that was only slow.
+        // Guards against many routers' writes that searched in vain and come late to one that was only slow.
         let searched = !read && held.dispatches.iter().any(|d| d.ended == Some(Ending::Missed));
         let old = searched && room && overdue && group.is_some_and(|group| group.led < cmd.arrived);
         let Some(server) = server.filter(|_| !old || self.number("routers", 1.0) <= ROOM_START) else {
