--- a/review/kit/pipeline.rs
+++ b/review/kit/pipeline.rs
@@ -23,13 +23,15 @@
 
 const MEMORY_MB: usize = 32;
 /// Clients that send one write at a time, the bytes of a value, and the pause between two writes of a client.
-const WRITERS: usize = 100;
+const WRITERS: usize = 110;
 const VALUE_BYTES: usize = 60_000;
-const PAUSE_MS: u64 = 1_500;
-/// Commands that a client sends at once, bytes of each value, and the pause between two such bundles.
+const PAUSE_MS: u64 = 2_600;
+/// Commands that a client sends at once, bytes of each value, and its pause between two such bundles.
 const BUNDLE: usize = 6;
 const BUNDLE_VALUE_BYTES: usize = 8_000;
-const BUNDLE_PAUSE_MS: u64 = 400;
+const BUNDLE_PAUSE_MS: u64 = 2_000;
+/// Clients that send bundles.
+const BUNDLERS: usize = 4;
 const WAIT_MS: u64 = 2_000;
 /// The run, and when the primary of group 1 hangs, its successor leads, and it is back as a replica.
 const RUN_MS: u64 = 14_000;
@@ -102,8 +104,9 @@
 }
 
 /// Sends bundles of commands for the other group, whose servers are well.
-fn write_bundles(address: SocketAddr, record: &Record, tally: &Tally) {
+fn write_bundles(address: SocketAddr, number: usize, record: &Record, tally: &Tally) {
     let mut client = None;
+    sleep(number as u64 * BUNDLE_PAUSE_MS / BUNDLERS as u64);
     for turn in 0.. {
         if tally.over() {
             return;
@@ -115,7 +118,7 @@
             sleep(50);
             continue;
         };
-        let ids: Vec<String> = (0..BUNDLE).map(|n| format!("b{turn}c{n}")).collect();
+        let ids: Vec<String> = (0..BUNDLE).map(|n| format!("b{number}n{turn}c{n}")).collect();
         let bytes: Vec<u8> = ids.iter().flat_map(|id| insert(id, 2, BUNDLE_VALUE_BYTES)).collect();
         let sent = Instant::now();
         if open.stream.write_all(&bytes).is_err() {
@@ -178,7 +181,10 @@
             let (record, writers) = (&record, &writers);
             scope.spawn(move || write_one_by_one(address, number, record, writers));
         }
-        scope.spawn(|| write_bundles(address, record, &bundles));
+        for number in 0..BUNDLERS {
+            let (record, bundles) = (&record, &bundles);
+            scope.spawn(move || write_bundles(address, number, record, bundles));
+        }
         until(HANG_AT_MS);
         if trouble {
             record.line("s0, the primary of group 1, hangs: it takes commands and answers none");
