--- a/review/kit/bench.rs
+++ b/review/kit/bench.rs
@@ -178,7 +178,13 @@
     hung
 }
 
-fn serve(server: usize, shape: Shape, state: &Mutex<State>, record: &Record, mut stream: TcpStream) -> Option<()> {
+fn serve(
+    server: usize,
+    shape: Shape,
+    state: &Mutex<State>,
+    record: &Record,
+    mut stream: TcpStream,
+) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut length = [0; 4];
     stream.read_exact(&mut length).ok()?;
@@ -223,7 +229,8 @@
         }
         let mut state_now = state.lock().unwrap();
         let (answer, said) = if write {
-            let value = text.split("'\\x").nth(1).and_then(|rest| rest.split('\'').next()).unwrap_or_default();
+            let value =
+                text.split("'\\x").nth(1).and_then(|rest| rest.split('\'').next()).unwrap_or_default();
             let value = value[..value.len().min(16)].to_string();
             let commit = unix() + 1; // Commits are rounded up.
             state_now.log.push((commit, key.clone(), value.clone()));
@@ -243,7 +250,9 @@
             record.line(&format!("the connection of id={id} to s{server} is reset behind CommandComplete"));
             return reset_connection(stream);
         }
-        stream.write_all(&[answer, status("lsn_ms", &said.to_string()), role, ready.clone()].concat()).ok()?;
+        stream
+            .write_all(&[answer, status("lsn_ms", &said.to_string()), role, ready.clone()].concat())
+            .ok()?;
     }
 }
 
@@ -302,7 +311,8 @@
     }
     if !String::from_utf8_lossy(&head).contains("since=") {
         let length = list.len();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n");
+        let head =
+            format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n");
         return stream.write_all((head + list).as_bytes()).ok();
     }
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/review/kit/memory.rs
+++ b/review/kit/memory.rs
@@ -87,7 +87,10 @@
                 let reply = reply.unwrap_or(Reply::Ended(false));
                 tally.count(&reply);
                 let word = if let Reply::Served(_) = reply { "served".into() } else { format!("{reply:?}") };
-                record.line(&format!("client {number}: id={id} after {} ms: {word}", began.elapsed().as_millis()));
+                record.line(&format!(
+                    "client {number}: id={id} after {} ms: {word}",
+                    began.elapsed().as_millis()
+                ));
                 whole &= !matches!(reply, Reply::Ended(_) | Reply::Error(_, true));
             }
         }
@@ -131,15 +134,26 @@
                 }
             }
             // The memory of its own alone: the program's file and libraries are not counted.
-            let kb = gateway.figure("RssAnon:").split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0_u64);
+            let kb = gateway
+                .figure("RssAnon:")
+                .split_whitespace()
+                .nth(1)
+                .and_then(|kb| kb.parse().ok())
+                .unwrap_or(0_u64);
             most = most.max(kb);
             if at >= next_line {
-                record.line(&format!("platform: the gateway holds {kb} kB of its own (limit {} kB)", MEMORY_MB * 1_024));
+                record.line(&format!(
+                    "platform: the gateway holds {kb} kB of its own (limit {} kB)",
+                    MEMORY_MB * 1_024
+                ));
                 next_line += 500;
             }
             if !killed && kb > MEMORY_MB * 1_024 {
                 killed = true;
-                record.line(&format!("platform: the gateway holds {kb} kB, over its limit of {} kB: it is killed", MEMORY_MB * 1_024));
+                record.line(&format!(
+                    "platform: the gateway holds {kb} kB, over its limit of {} kB: it is killed",
+                    MEMORY_MB * 1_024
+                ));
                 gateway.kill();
                 break;
             }
@@ -151,7 +165,11 @@
     let read = |of: &AtomicUsize| of.load(Ordering::Relaxed);
     record.line(&format!(
         "clients: {} sent, {} served, {} refused, {} failed, {} without an answer",
-        read(&tally.sent), read(&tally.served), read(&tally.refused), read(&tally.failed), read(&tally.unanswered)
+        read(&tally.sent),
+        read(&tally.served),
+        read(&tally.refused),
+        read(&tally.failed),
+        read(&tally.unanswered)
     ));
     record.line(&format!("the most that it held: {most} kB of its own; limit {} kB", MEMORY_MB * 1_024));
     for line in gateway.log().lines().filter(|line| line.contains("memory")).take(3) {
--- a/review/kit/pipeline.rs
+++ b/review/kit/pipeline.rs
@@ -90,7 +90,8 @@
         let id = format!("w{number}n{turn}");
         tally.sent.fetch_add(1, Ordering::Relaxed);
         let whole = open.stream.write_all(&insert(&id, 1, VALUE_BYTES)).is_ok();
-        let reply = if whole { open.reply(Instant::now() + millis(WAIT_MS + 550)) } else { Some(Reply::Ended(true)) };
+        let reply =
+            if whole { open.reply(Instant::now() + millis(WAIT_MS + 550)) } else { Some(Reply::Ended(true)) };
         let reply = reply.unwrap_or(Reply::Ended(false));
         tally.count(&reply);
         if !matches!(reply, Reply::Served(_)) {
@@ -135,7 +136,10 @@
             if ended {
                 let unread = unread_by_gateway(open);
                 for id in &ids[place..] {
-                    record.line(&format!("LOST: id={id} got no answer; {reply:?} after {} ms", sent.elapsed().as_millis()));
+                    record.line(&format!(
+                        "LOST: id={id} got no answer; {reply:?} after {} ms",
+                        sent.elapsed().as_millis()
+                    ));
                     tally.count(&reply);
                 }
                 record.line(&format!("unread in the gateway's socket of this connection: {unread:?} bytes"));
@@ -208,7 +212,11 @@
         let read = |of: &AtomicUsize| of.load(Ordering::Relaxed);
         record.line(&format!(
             "{name}: {} sent, {} served, {} refused, {} failed, {} without an answer",
-            read(&tally.sent), read(&tally.served), read(&tally.refused), read(&tally.failed), read(&tally.lost)
+            read(&tally.sent),
+            read(&tally.served),
+            read(&tally.refused),
+            read(&tally.failed),
+            read(&tally.lost)
         ));
     }
     record.line(&format!("the gateway's peak memory: {}", gateway.figure("VmHWM")));
--- a/review/kit/session.rs
+++ b/review/kit/session.rs
@@ -23,7 +23,9 @@
 const SESSIONS: usize = 8;
 
 fn write(key: &str, value: &str, id: &str) -> String {
-    format!("INSERT INTO records (k, v) VALUES ('{key}', '\\x{value}') RETURNING v /* id={id},c=order-place,d=2000,cluster=1 */")
+    format!(
+        "INSERT INTO records (k, v) VALUES ('{key}', '\\x{value}') RETURNING v /* id={id},c=order-place,d=2000,cluster=1 */"
+    )
 }
 
 fn read(key: &str, id: &str) -> String {
@@ -34,7 +36,9 @@
     let said = |error: std::io::Error| error.to_string();
     let store = Store::start(Shape { groups: 1, members: 3, lag: LAG_MS, work: 5 }, record).map_err(said)?;
     let hosts: Vec<String> = (0..3)
-        .map(|n| host(&format!("s{n}"), store.addresses[n], ["changhua", "changhua", "taichung"][n], 1, n == 0))
+        .map(|n| {
+            host(&format!("s{n}"), store.addresses[n], ["changhua", "changhua", "taichung"][n], 1, n == 0)
+        })
         .collect();
     let discovery = Discovery::start(&hosts).map_err(said)?;
     let limits = r#"{"cores":1.0,"memory_mb":128,"sockets":1024}"#;
@@ -67,7 +71,9 @@
             judged += 1;
             if found != value {
                 stale += 1;
-                record.line(&format!("STALE: the read was answered with {found}, older than the acknowledged write"));
+                record.line(&format!(
+                    "STALE: the read was answered with {found}, older than the acknowledged write"
+                ));
             }
         }
     }
