One account bounds the buffers of all connections, also for messages behind a command

Cause: inboxes were held to a quarter of the memory only as a socket became readable and only for a client without a command in progress. A message behind a command was read later, whole, by a path that looked at no limit. On related paths nothing counted servers' answers, answers that clients do not read, rests of statements, and ids as long as a message; and buffers grew to twice what they held.

Change: memory/buffers.rs is the one account. A connection may buffer a little without asking and reserves the rest: messages a quarter of the memory, all buffers half. Bytes behind a command in progress, and answers that find no memory, stay in the socket. Ids are kept as hashes.

Why it works: no read passes a limit any more, since each inbox reads exactly up to its reservation.

--- /dev/null
+++ b/crates/cli/tests/memory.rs
@@ -0,0 +1,135 @@
+//! Memory that the gateway holds for messages and answers, whatever mix of clients and servers fills it: its own pages
+//! stay below `limits.memory_mb`, and what waits in the sockets meanwhile is answered afterwards.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tansyjunction_standin::scripted::*;
+use tansyjunction_standin::{Client, Reply, START, message, row};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
+const MEMORY_MB: usize = 16;
+const VALUE_BYTES: usize = 60_000;
+
+/// Waits until the flag is set.
+fn wait_for(flag: &AtomicBool) {
+    while !flag.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A gateway with a primary and 100 replicas, which share two addresses, and patient clients.
+fn gateway(primary: SocketAddr, replica: SocketAddr) -> Gateway {
+    let replicas = (1..=100).map(|n| entry(&format!("r{n}"), replica, "up", false));
+    let entries: Vec<String> = [entry("p", primary, "up", true)].into_iter().chain(replicas).collect();
+    let (discovery, _changes) = discovery(list(1, true, &entries));
+    let gateway = Gateway::launch_as(PROGRAM, discovery, 1_024, None, |usual| {
+        usual
+            .replace(r#""sockets":1024"#, &format!(r#""sockets":1024,"memory_mb":{MEMORY_MB}"#))
+            .replace("\"aim\":400000000", "\"aim\":9000000000")
+            .replace(r#""probes":true"#, r#""probes":false"#)
+    });
+    gateway.wait_ready();
+    gateway
+}
+
+/// Most memory of the gateway's own, in KiB, while `times` samples are taken.
+fn most_memory(gateway: &Gateway, times: usize) -> usize {
+    let sample = |_| {
+        std::thread::sleep(Duration::from_millis(10));
+        let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.process())).expect("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a line");
+        line.trim().trim_end_matches(" kB").parse::<usize>().expect("a figure")
+    };
+    (0..times).map(sample).max().unwrap_or(0)
+}
+
+fn query(statement: &str) -> Vec<u8> {
+    message(b'Q', format!("{}\0", statement.replace("d=1500", "d=9000")).as_bytes())
+}
+
+fn answered(reply: &Reply) -> bool {
+    matches!(reply, Reply::Value(_) | Reply::Error(..))
+}
+
+/// A server that holds reads and writes back until they are released. A replica rejects writes.
+fn holds(primary: bool, reads: &Arc<AtomicBool>, writes: &Arc<AtomicBool>) -> GatedServer {
+    let (reads, writes) = (reads.clone(), writes.clone());
+    GatedServer::start(usize::MAX, move |met| {
+        let place = met.whole()?;
+        let write = met.statement(place).starts_with("INSERT");
+        if write && !primary {
+            let missed = message(b'E', b"SERROR\0C25006\0Mno\0\0");
+            met.stream.write_all(&[missed, message(b'Z', b"I")].concat())?;
+            return Ok(true);
+        }
+        wait_for(if write { &writes } else { &reads });
+        met.answer(primary, b"held").map(|()| true)
+    })
+}
+
+/// Guards against messages behind a command in progress that pass by the limit on memory (incident 18).
+#[test]
+fn writes_behind_reads_stay_within_the_memory_while_their_primary_hangs() {
+    let (reads, writes) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (primary, replica) = (holds(true, &reads, &writes), holds(false, &reads, &writes));
+    let gateway = gateway(primary.address, replica.address);
+    let mut clients: Vec<Client> = (0..200).map(|_| gateway.client()).collect();
+    for (client, id) in clients.iter_mut().zip((0..).step_by(2)) {
+        client.stream.write_all(&query(&read(id))).expect("it is sent");
+    }
+    wait_until("the reads", || primary.asked().len() + replica.asked().len() >= 200);
+    for (client, id) in clients.iter_mut().zip((1..).step_by(2)) {
+        let long = write(id).replace("9f03", &"9f".repeat(VALUE_BYTES));
+        client.stream.write_all(&query(&long)).expect("it is sent");
+    }
+    reads.store(true, Ordering::SeqCst);
+    let most = most_memory(&gateway, 150);
+    writes.store(true, Ordering::SeqCst);
+    println!("{most} KiB");
+    assert!(most < MEMORY_MB * 1_024, "{most} KiB");
+    for (n, client) in clients.iter_mut().enumerate() {
+        let replies = [client.reply(), client.reply()];
+        assert!(replies.iter().all(answered), "client {n}: {replies:?}");
+    }
+}
+
+/// Guards against answers that fill the memory: of servers that stop half way, and for clients that do not read.
+#[test]
+fn answers_stay_within_the_memory_while_servers_stall_or_clients_do_not_read() {
+    for stalls in [true, false] {
+        let released = Arc::new(AtomicBool::new(!stalls));
+        let server = |primary: bool| {
+            let released = released.clone();
+            GatedServer::start(usize::MAX, move |met| {
+                met.whole()?;
+                let answer = row(&[7; VALUE_BYTES]);
+                let (first, last) = answer.split_at(answer.len() - 20);
+                met.stream.write_all(first)?;
+                wait_for(&released);
+                let role = message(b'S', if primary { b"recovery\0off\0" } else { b"recovery\0on\0" });
+                met.stream.write_all(&[last, &role, &message(b'Z', b"I")].concat()).map(|()| true)
+            })
+        };
+        let (primary, replica) = (server(true), server(false));
+        let gateway = gateway(primary.address, replica.address);
+        let connect = |id: u32| {
+            let mut stream = narrow_stream(gateway.address);
+            stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a bound");
+            stream.write_all(&[START, &query(&read(id))].concat()).expect("it is sent");
+            Client { stream }
+        };
+        let mut clients: Vec<Client> = (0..450).map(connect).collect();
+        let most = most_memory(&gateway, 200);
+        released.store(true, Ordering::SeqCst);
+        println!("servers stall: {stalls}; {most} KiB");
+        assert!(most < MEMORY_MB * 1_024, "servers stall: {stalls}; {most} KiB");
+        for (n, client) in clients.iter_mut().enumerate() {
+            let replies = [client.reply(), client.reply()];
+            assert!(replies[0] == Reply::Ready && answered(&replies[1]), "client {n}: {:?}", replies[1]);
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Core of the gateway: turns input into calls of the router, and its answers into messages. Makes no decisions. All
 //! state belongs to [`Gateway`], which the event loop passes to every callback.
 
+mod buffers;
 mod clients;
 mod commands;
 mod company;
@@ -70,6 +71,8 @@
     due: TimerQueue<Due>,
     /// Clients whose next message may be handled.
     turns: RoundRobin,
+    /// Server connections whose answer found no memory to be read.
+    unread_answers: RoundRobin,
     /// When the router's periodic check is due.
     router_due: Micros,
     /// Holding of writes during a change of primary; `None` if disabled.
@@ -119,6 +122,7 @@
             diagnosis: Vec::new(),
             due: TimerQueue::default(),
             turns: RoundRobin::default(),
+            unread_answers: RoundRobin::default(),
             router_due: 0,
             handover: WriteHolding::new(&deployment, program),
             membership: None,
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -6,6 +6,7 @@
 use tracing::warn;
 
 use super::{Due, Gateway, is_out_of_descriptors};
+use crate::memory::name_hash::NameHash;
 use crate::wire::client::{Client, InHand, Next};
 use crate::wire::frames;
 use crate::wire::server::Phase;
@@ -31,11 +32,6 @@
 /// Most messages of one client, and most new clients, handled before others get their turn.
 const MESSAGES_PER_TURN: usize = 8;
 const ACCEPTS_PER_TURN: usize = 64;
-/// Fraction of the memory that inboxes may use before bytes sent ahead are left in the sockets.
-const AHEAD_MEMORY_DIVISOR: usize = 16;
-/// Fraction of the memory that inboxes may use, and inbox size from which a client is then rejected.
-const INBOX_MEMORY_DIVISOR: usize = 4;
-const LARGE_INBOX_BYTES: usize = 16 * 1_024;
 
 impl Gateway {
     /// Accepts the connections in the listen queue.
@@ -63,9 +59,10 @@
                 _ => return,
             };
             let key = self.number();
+            let unreserved = self.buffer_limits().unreserved();
             match self.watch(stream, move |gateway, readiness| gateway.client_ready(key, readiness)) {
                 Ok((stream, token)) => {
-                    self.clients.add(key, Client::new(stream, token, self.clock.now()));
+                    self.clients.add(key, Client::new(stream, token, self.clock.now(), unreserved));
                     self.update_client_timeout(key);
                 }
                 Err(error) => warn!(target: "clients", "a client's connection: {error}"),
@@ -150,16 +147,6 @@
             self.close_client(key);
             return;
         }
-        let Some(client) = self.clients.get(key) else { return };
-        // Many clients with long messages at once would fill the memory.
-        if client.in_hand.is_none()
-            && client.inbox.memory() > LARGE_INBOX_BYTES
-            && self.clients.inbox_bytes() > self.deployment.memory / INBOX_MEMORY_DIVISOR
-            && let Some(client) = self.clients.get(key)
-        {
-            warn!(target: "limits", "no memory left for a client's message");
-            client.refuse("53200", "no memory left for the message");
-        }
         self.turns.push_back(key);
     }
 
@@ -173,8 +160,8 @@
         if !client.has_unread() {
             return true;
         }
-        let room = self.clients.inbox_bytes() < self.deployment.memory / AHEAD_MEMORY_DIVISOR;
-        self.clients.get(key).is_some_and(|client| client.check_for_end(now, room))
+        let ahead = self.buffer_limits().read_ahead(self.buffer_use());
+        self.clients.get(key).is_some_and(|client| client.check_for_end(now, ahead))
     }
 
     /// Whether the client of a command is still connected; closes it if not. The process may have been paused or
@@ -219,6 +206,7 @@
             }
             match client.next(now, takes, ready) {
                 Next::Wait => break,
+                Next::NeedsMemory(request) => self.reserve_message(key, request),
                 Next::Answered => {}
                 Next::Opened => self.clients.opened(key),
                 Next::Query(length) => self.take_command(key, length),
@@ -303,7 +291,8 @@
             // Clients do not name customers in this protocol.
             customer: None,
         };
-        let in_hand = InHand { command, id: head.id.into(), length, wait_at: head.wait_at };
+        let in_hand =
+            InHand { command, id: NameHash::of(head.id), id_at: head.id_at, length, wait_at: head.wait_at };
         self.clients.set_pending(key, in_hand);
         self.commands.add(command, taken);
         self.step_taken(command);
--- a/crates/gateway/src/gateway/commands.rs
+++ b/crates/gateway/src/gateway/commands.rs
@@ -7,6 +7,18 @@
 use crate::wire::frames;
 use crate::wire::server::{Job, ServerAnswer};
 
+/// Encodes a final answer that does not come from a server.
+pub(super) fn final_error(last: FinalAnswer) -> Vec<u8> {
+    match last {
+        FinalAnswer::Throttled { retry_after } => {
+            let advice = (retry_after > 0).then(|| retry_after.div_ceil(1_000).to_string());
+            let message = "too many commands; trying again does no harm";
+            frames::error("ERROR", "53300", message, advice.as_deref())
+        }
+        FinalAnswer::Failed => frames::error("ERROR", "58000", "the command failed; it may have run", None),
+    }
+}
+
 impl Gateway {
     /// Asks the router to place a command now, and executes its answer.
     pub(super) fn place(&mut self, command: u64) {
@@ -48,23 +60,9 @@
 
     /// Sends the client a final answer that does not come from a server.
     pub(super) fn answer_finally(&mut self, command: u64, last: FinalAnswer) {
-        let error = match last {
-            FinalAnswer::Throttled { retry_after: come_back } => {
-                let advice = (come_back > 0).then(|| come_back.div_ceil(1_000).to_string());
-                frames::error(
-                    "ERROR",
-                    "53300",
-                    "too many commands; trying again does no harm",
-                    advice.as_deref(),
-                )
-            }
-            FinalAnswer::Failed => {
-                frames::error("ERROR", "58000", "the command failed; it may have run", None)
-            }
-        };
         self.step_given_up(command, last);
         let Some(client) = self.clients.waiting_for(command) else { return };
-        let written = client.answer(&[&error, frames::READY]);
+        let written = client.answer(&[&final_error(last), frames::READY]);
         self.on_answered(command, written);
     }
 
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -53,6 +53,7 @@
                 break;
             }
         }
+        self.read_unread_answers();
         self.run_handover();
         self.run_membership();
         self.close_idle_clients();
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -53,7 +53,8 @@
         let watched = self.watch(stream, move |gateway, readiness| gateway.connection_ready(key, readiness));
         let Ok((stream, token)) = watched else { return Err(DispatchEnd::Unsent) };
         self.step_opened(server, &job);
-        self.servers.add(key, ServerConnection::new(server, stream, token, now));
+        let unreserved = self.buffer_limits().unreserved();
+        self.servers.add(key, ServerConnection::new(server, stream, token, now, unreserved));
         self.servers.begin(key, job, due);
         self.connection_timeout(key, due.min(now + self.deployment.connect_within));
         Ok(key)
@@ -128,6 +129,12 @@
                         self.set_idle(key);
                     }
                 }
+                Event::NeedsMemory(bytes) => {
+                    if !self.reserve_answer(key, bytes) {
+                        return;
+                    }
+                }
+                Event::Nothing if connection.more => connection.read(),
                 Event::Nothing if !connection.ended => return,
                 Event::Nothing => {
                     self.end_connection(key, DispatchEnd::Reset);
@@ -229,6 +236,8 @@
             self.end_connection(key, DispatchEnd::Unconnected);
         } else if connection.outbox.is_empty() {
             self.on_written(key, now);
+        } else if !self.may_keep_unwritten() {
+            self.end_connection(key, DispatchEnd::Unsent);
         }
     }
 
--- a/crates/gateway/src/gateway/steps.rs
+++ b/crates/gateway/src/gateway/steps.rs
@@ -34,8 +34,9 @@
     }
 
     fn in_hand(&self, command: u64) -> Option<String> {
-        let client = self.clients.client_of(command)?;
-        Some(self.clients.peek(client)?.in_hand.as_ref()?.id.clone())
+        let client = self.clients.peek(self.clients.client_of(command)?)?;
+        let id = &client.inbox.rest()[client.in_hand.as_ref()?.id_at.clone()];
+        Some(String::from_utf8_lossy(id).into_owned())
     }
 
     /// Records the diagnosis of the members before a command is placed, in case it is abandoned or dispatched.
--- a/crates/gateway/src/memory/clients.rs
+++ b/crates/gateway/src/memory/clients.rs
@@ -4,6 +4,8 @@
 
 use tansyjunction::interface::Micros;
 
+use crate::memory::buffers::BufferUse;
+use crate::memory::name_hash::NameHash;
 use crate::wire::client::{Client, InHand};
 
 /// All client connections by number.
@@ -13,7 +15,7 @@
     /// Connection that waits for each command.
     waiting: BTreeMap<u64, u64>,
     /// The `id` of each pending command.
-    ids: BTreeSet<String>,
+    ids: BTreeSet<NameHash>,
     /// Connections that have not finished their startup, by arrival time.
     silent: BTreeSet<(Micros, u64)>,
     /// Other connections without a command, by the time of their last one or of their arrival.
@@ -88,19 +90,24 @@
 
     /// Whether a command with this `id` is pending.
     pub fn has_command_id(&self, id: &str) -> bool {
-        self.ids.contains(id)
+        self.ids.contains(&NameHash::of(id))
     }
 
-    /// Memory used by all inboxes in bytes.
-    pub fn inbox_bytes(&self) -> usize {
-        self.connections.values().map(|client| client.inbox.memory()).sum()
+    /// Memory used by the buffers of all connections; answers count as other bytes.
+    pub fn buffer_use(&self) -> BufferUse {
+        let mut used = BufferUse::default();
+        for client in self.connections.values() {
+            used.messages += client.message_memory();
+            used.other += client.outbox.memory();
+        }
+        used
     }
 
     /// Records that a connection waits for a command.
     pub fn set_pending(&mut self, key: u64, in_hand: InHand) {
         let Some(client) = self.connections.get_mut(&key) else { return };
         self.resting.remove(&(client.last_used, key));
-        self.ids.insert(in_hand.id.clone());
+        self.ids.insert(in_hand.id);
         self.waiting.insert(in_hand.command, key);
         client.in_hand = Some(in_hand);
     }
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -114,6 +114,11 @@
         self.connections.get_mut(&key)
     }
 
+    /// Memory used by the buffers of all connections in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.connections.values().map(ServerConnection::memory).sum()
+    }
+
     /// Number of connections.
     pub fn count(&self) -> usize {
         self.connections.len()
--- a/crates/gateway/src/memory/sessions.rs
+++ b/crates/gateway/src/memory/sessions.rs
@@ -2,20 +2,18 @@
 //! sessions that ever existed.
 
 use std::collections::{BTreeSet, HashMap};
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use tansyjunction::interface::Micros;
 
+use crate::memory::name_hash::NameHash;
+
 /// A session unused for this long is forgotten: far longer than replication lag, so that its writes are everywhere, and
 /// short enough that hundreds of new sessions per second fit into memory. Its successor inherits its last write, so it
 /// requires newer data than necessary, never older.
 const FORGET_AFTER: Micros = 120_000_000;
 
-/// Hash of a session's name. Names may be as long as a message and would fill the memory. Two with the same hash
-/// share a number, and require newer data than necessary.
-type NameHash = u64;
-
-/// Numbers of the known sessions.
+/// Numbers of the known sessions. Two whose names have the same hash share a number, and require newer data than
+/// necessary.
 #[derive(Default)]
 pub struct Sessions {
     numbers: HashMap<NameHash, usize>,
@@ -28,9 +26,7 @@
     /// The number of a session with a command pending until `until` at most. A number is not reused before, so that a
     /// late answer to a write is not recorded for another session.
     pub fn number_of(&mut self, name: &str, now: Micros, until: Micros) -> usize {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        let mark = hasher.finish();
+        let mark = NameHash::of(name);
         let number = match self.numbers.get(&mark) {
             Some(number) => *number,
             None => {
--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -5,7 +5,7 @@
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
-/// Bytes per read; also the most memory that an idle connection keeps.
+/// Bytes per read.
 const CHUNK_BYTES: usize = 16 * 1_024;
 
 /// Result of a read.
@@ -47,30 +47,27 @@
         self.bytes.capacity()
     }
 
-    /// Removes the first `count` bytes; an empty inbox releases its memory.
+    /// Removes the first `count` bytes, and releases memory that the rest does not need.
     pub fn consume(&mut self, count: usize) {
         // Dropping all that is left is requested with the largest count, which must not overflow.
         self.used = self.used.saturating_add(count).min(self.bytes.len());
-        if self.used == self.bytes.len() {
-            (self.bytes, self.used) = (Vec::new(), 0);
+        if self.rest().len() <= self.bytes.capacity() / 2 {
+            (self.bytes, self.used) = (self.rest().to_vec(), 0);
         }
     }
 
+    /// Makes room for `total` bytes at once, so that reading them takes no more memory than that.
+    pub fn reserve(&mut self, total: usize) {
+        let missing = total.saturating_sub(self.rest().len());
+        self.bytes.drain(..self.used);
+        self.used = 0;
+        self.bytes.reserve_exact(missing);
+    }
+
     /// Reads available data until `most` bytes are stored.
-    pub fn read(&mut self, mut stream: &TcpStream, most: usize) -> ReadResult {
-        let mut chunk = [0; CHUNK_BYTES];
-        loop {
-            if self.bytes.len() - self.used >= most {
-                return ReadResult::Full;
-            }
-            match stream.read(&mut chunk) {
-                Ok(0) => return ReadResult::Ended,
-                Ok(count) => self.append(&chunk[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadResult::Drained,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return ReadResult::Reset,
-            }
-        }
+    pub fn read(&mut self, stream: &TcpStream, most: usize) -> ReadResult {
+        let room = most.saturating_sub(self.rest().len());
+        read_chunks(stream, room, |bytes| self.append(bytes))
     }
 
     /// Appends bytes.
@@ -83,6 +80,32 @@
     }
 }
 
+/// Reads up to `most` available bytes and passes them on.
+fn read_chunks(mut stream: &TcpStream, most: usize, mut pass_on: impl FnMut(&[u8])) -> ReadResult {
+    let mut chunk = [0; CHUNK_BYTES];
+    let mut left = most;
+    while left > 0 {
+        match stream.read(&mut chunk[..left.min(CHUNK_BYTES)]) {
+            Ok(0) => return ReadResult::Ended,
+            Ok(count) => {
+                pass_on(&chunk[..count]);
+                left -= count;
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadResult::Drained,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return ReadResult::Reset,
+        }
+    }
+    ReadResult::Full
+}
+
+/// Reads up to `most` available bytes without storing them, and returns their number.
+pub fn discard(stream: &TcpStream, most: usize) -> (usize, ReadResult) {
+    let mut count = 0;
+    let result = read_chunks(stream, most, |bytes| count += bytes.len());
+    (count, result)
+}
+
 /// Bytes that the socket has not accepted yet.
 #[derive(Default)]
 pub struct Outbox {
@@ -100,6 +123,11 @@
         self.bytes.is_empty()
     }
 
+    /// Memory used in bytes.
+    pub fn memory(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Writes the parts after the pending bytes, with one vectored write if the socket accepts it.
     pub fn write(&mut self, mut stream: &TcpStream, parts: &[&[u8]]) -> io::Result<()> {
         let mut slices: Vec<IoSlice> =
@@ -114,7 +142,8 @@
                 Err(error) => return Err(error),
             }
         }
-        self.bytes = left.iter().flat_map(|slice| slice.iter().copied()).collect();
+        let rest: Vec<&[u8]> = left.iter().map(|slice| &slice[..]).collect();
+        self.bytes = rest.concat();
         Ok(())
     }
 
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -9,17 +9,21 @@
 use tansyjunction::interface::Micros;
 use tansyjunction_hosting::Timer;
 
-use crate::wire::bytes::{Inbox, Outbox, ReadResult, has_ended};
+use crate::memory::name_hash::NameHash;
+use crate::wire::bytes::{Inbox, Outbox, ReadResult, discard, has_ended};
 use crate::wire::frames;
 
 /// Longest message: a value of 64 KiB in hexadecimal with its statement.
 pub const MAX_MESSAGE_BYTES: usize = 2 * 65_536 + 4_096;
 /// Longest message that is skipped; a larger length means that framing is lost.
 const MAX_SKIPPED_BYTES: usize = 64 * 1_024 * 1_024;
-/// Bytes read beyond the pending command to notice that its client leaves; the rest stays in the socket. The larger
-/// value is used while there is memory: it finds an end behind everything sent ahead, on any system.
-const READ_AHEAD_BYTES: usize = 4_096;
+/// Most bytes read beyond the pending command while there is memory, to notice that its client leaves: finds an end
+/// behind everything sent ahead, on any system.
 const MAX_READ_AHEAD_BYTES: usize = 512 * 1_024;
+/// Most bytes of a skipped message that are read at once.
+const MAX_DISCARD_BYTES: usize = MAX_MESSAGE_BYTES;
+/// Most arrival times recorded for bytes ahead of their turn; what comes later stays in the socket.
+const MAX_ARRIVALS: usize = 64;
 /// Longest startup message, as in PostgreSQL.
 const MAX_STARTUP_BYTES: usize = 10_000;
 /// Timeout of an incomplete startup or message: far longer than slow clients need, and short enough that hundreds of
@@ -48,15 +52,36 @@
 /// The pending command; its message stays at the front of the inbox until it is finished.
 pub struct InHand {
     pub command: u64,
-    pub id: String,
+    pub id: NameHash,
+    /// Position of the `id` in the message.
+    pub id_at: Range<usize>,
     pub length: usize,
     pub wait_at: Range<usize>,
 }
 
+/// A message that is read without being stored.
+struct SkippedMessage {
+    /// Bytes still to be read.
+    left: usize,
+    /// Encoded answer once all have been read.
+    answer: Vec<u8>,
+}
+
+/// Memory that the message at the front needs.
+#[derive(Clone, Copy)]
+pub struct MemoryRequest {
+    /// Total of bytes to reserve. It grows with the bytes that have come, so that a stated length alone takes no memory.
+    pub bytes: usize,
+    /// Length of the whole message.
+    pub length: usize,
+}
+
 /// Result of handling the next message.
 pub enum Next {
     /// It is incomplete.
     Wait,
+    /// It is incomplete, and memory must be reserved before more of it is read.
+    NeedsMemory(MemoryRequest),
     /// It was answered here.
     Answered,
     /// It was the startup.
@@ -77,8 +102,10 @@
     pub outbox: Outbox,
     phase: Phase,
     pub in_hand: Option<InHand>,
-    /// Bytes of an overlong message still to be skipped.
-    skip: usize,
+    /// Bytes that the inbox may hold without a reservation, and with the one for the message at the front.
+    unreserved: usize,
+    reserved: usize,
+    skipped: Option<SkippedMessage>,
     /// After an error in the extended protocol: skips messages until Sync.
     until_sync: bool,
     /// The message at the front is complete and waits until the gateway serves.
@@ -95,7 +122,7 @@
 
 impl Client {
     /// Creates the connection.
-    pub fn new(stream: Rc<TcpStream>, token: RegistrationToken, now: Micros) -> Self {
+    pub fn new(stream: Rc<TcpStream>, token: RegistrationToken, now: Micros, unreserved: usize) -> Self {
         Client {
             stream,
             token,
@@ -104,7 +131,9 @@
             outbox: Outbox::default(),
             phase: Phase::Startup,
             in_hand: None,
-            skip: 0,
+            unreserved,
+            reserved: 0,
+            skipped: None,
             until_sync: false,
             message_waits: false,
             more: false,
@@ -117,7 +146,15 @@
 
     /// Whether it has no command and no incomplete message.
     pub fn is_idle(&self) -> bool {
-        self.in_hand.is_none() && self.inbox.rest().is_empty() && self.outbox.is_empty()
+        self.in_hand.is_none()
+            && self.skipped.is_none()
+            && self.inbox.rest().is_empty()
+            && self.outbox.is_empty()
+    }
+
+    /// Memory used by messages that came in, in bytes.
+    pub fn message_memory(&self) -> usize {
+        self.inbox.memory() + self.arrivals.capacity() * size_of::<(usize, Micros)>()
     }
 
     /// Whether a complete message waits until the gateway serves.
@@ -142,7 +179,7 @@
             Phase::Closing if self.outbox.is_empty() => LINGER,
             _ if self.in_hand.is_some() || self.message_waits => return None,
             _ if !self.outbox.is_empty() => READ_TIMEOUT,
-            _ if self.skip > 0 => SKIP_TIMEOUT,
+            _ if self.skipped.is_some() => SKIP_TIMEOUT,
             Phase::Open if self.inbox.rest().is_empty() => return None,
             _ => MESSAGE_TIMEOUT,
         };
@@ -159,13 +196,23 @@
     /// Reads available data; false if the client has gone. A client that shuts down its side right after a complete
     /// command has gone too: by the protocol it stays while it waits, and earlier commands are not answered.
     pub fn read(&mut self, now: Micros) -> bool {
-        // Clients that send ahead or do not read would fill the memory.
-        let most = match &self.in_hand {
-            Some(in_hand) => in_hand.length + READ_AHEAD_BYTES,
-            None if !self.outbox.is_empty() => READ_AHEAD_BYTES,
-            None => MAX_MESSAGE_BYTES + frames::HEADER_BYTES,
-        };
-        self.read_until(now, most)
+        self.read_until(now, self.read_limit())
+    }
+
+    /// Most bytes that the inbox may hold; the rest stays in the socket. Clients that send ahead, send long messages or
+    /// do not read would fill the memory.
+    fn read_limit(&self) -> usize {
+        match &self.in_hand {
+            Some(in_hand) if self.arrivals.len() < MAX_ARRIVALS => in_hand.length + self.unreserved,
+            Some(in_hand) => in_hand.length,
+            None => self.reserved.max(self.unreserved),
+        }
+    }
+
+    /// Reserves memory for this many bytes of the message at the front.
+    pub fn reserve(&mut self, bytes: usize) {
+        self.reserved = bytes;
+        self.inbox.reserve(bytes);
     }
 
     /// Whether the last read left data in the socket; skipped data does not count.
@@ -173,22 +220,29 @@
         self.more && self.phase != Phase::Closing
     }
 
-    /// Looks for the client's end behind unread data, reading on if there is `room`; false if it has gone. Prevents
-    /// attempts for a client that left after sending ahead.
-    pub fn check_for_end(&mut self, now: Micros, room: bool) -> bool {
-        let in_hand = self.in_hand.as_ref().filter(|_| room);
-        let most = in_hand.map(|in_hand| in_hand.length + MAX_READ_AHEAD_BYTES);
-        most.is_none_or(|most| self.read_until(now, most)) && !(self.more && has_ended(&self.stream))
+    /// Looks for the client's end behind unread data, reading up to `ahead` bytes beyond the pending command; false if
+    /// it has gone. Prevents attempts for a client that left after sending ahead.
+    pub fn check_for_end(&mut self, now: Micros, ahead: usize) -> bool {
+        let in_hand = self.in_hand.as_ref().filter(|_| self.arrivals.len() < MAX_ARRIVALS);
+        let most = in_hand.map(|in_hand| in_hand.length + ahead.min(MAX_READ_AHEAD_BYTES));
+        let deeper = most.filter(|most| *most > self.read_limit());
+        deeper.is_none_or(|most| self.read_until(now, most)) && !(self.more && has_ended(&self.stream))
     }
 
     fn read_until(&mut self, now: Micros, most: usize) -> bool {
-        let before = self.inbox.rest().len();
-        let reading = self.inbox.read(&self.stream, most);
-        self.record_arrival(self.inbox.rest().len() - before, now);
+        let reading = if self.phase == Phase::Closing {
+            discard(&self.stream, MAX_DISCARD_BYTES).1
+        } else if let Some(skipped) = &mut self.skipped {
+            let (count, reading) = discard(&self.stream, skipped.left.min(MAX_DISCARD_BYTES));
+            skipped.left -= count;
+            reading
+        } else {
+            let before = self.inbox.rest().len();
+            let reading = self.inbox.read(&self.stream, most);
+            self.record_arrival(self.inbox.rest().len() - before, now);
+            reading
+        };
         self.more = reading == ReadResult::Full;
-        if self.phase == Phase::Closing {
-            self.drop_front(usize::MAX);
-        }
         !matches!(reading, ReadResult::Ended | ReadResult::Reset)
     }
 
@@ -201,25 +255,24 @@
         if self.in_hand.is_some() || !self.outbox.is_empty() {
             return Next::Wait;
         }
-        if self.skip > 0 {
-            let count = self.skip.min(self.inbox.rest().len());
-            self.skip -= count;
-            self.drop_front(count);
-            if self.skip > 0 {
-                return self.wait(now);
-            }
+        if self.skipped.as_ref().is_some_and(|skipped| skipped.left > 0) {
+            return self.wait(now);
+        }
+        if let Some(skipped) = self.skipped.take() {
             self.handled += 1;
-            return self
-                .answer(&[&frames::error("ERROR", "54000", "the message is too long", None), frames::READY]);
+            return self.answer(&[&skipped.answer, frames::READY]);
         }
         if self.phase == Phase::Startup {
             return self.opening(now);
         }
         let (kind, length) = match frames::first(self.inbox.rest(), MAX_MESSAGE_BYTES) {
             Ok(Some(first)) => first,
-            Ok(None) => return self.wait(now),
+            Ok(None) => {
+                let length = frames::stated_length(self.inbox.rest());
+                return self.wait_for_message(now, length);
+            }
             Err(Some(length)) if length <= MAX_SKIPPED_BYTES => {
-                self.skip = length;
+                self.skip(length, frames::error("ERROR", "54000", "the message is too long", None));
                 return Next::Answered;
             }
             Err(_) => return self.refuse("08P01", "the length of a message makes no sense"),
@@ -259,9 +312,18 @@
     /// Removes the message at the front.
     pub fn consume(&mut self, length: usize) {
         self.drop_front(length);
+        self.reserved = 0;
         self.handled += 1;
     }
 
+    /// Reads the message at the front, of this whole length, without storing it, and answers it then.
+    pub fn skip(&mut self, length: usize, answer: Vec<u8>) {
+        let came = length.min(self.inbox.rest().len());
+        self.drop_front(came);
+        self.reserved = 0;
+        self.skipped = Some(SkippedMessage { left: length - came, answer });
+    }
+
     fn record_arrival(&mut self, count: usize, now: Micros) {
         match self.arrivals.back_mut() {
             // Bounded: arrival times are recorded once per millisecond.
@@ -301,6 +363,21 @@
         Next::Wait
     }
 
+    /// Waits for the rest of the message at the front, of this length if its header has come.
+    fn wait_for_message(&mut self, now: Micros, length: Option<usize>) -> Next {
+        // A message has arrived with its last byte; when the earlier ones came no longer matters.
+        if let Some((_, at)) = self.arrivals.back().copied() {
+            self.arrivals = VecDeque::from([(self.inbox.rest().len(), at)]);
+        }
+        let limit = self.read_limit();
+        match length {
+            Some(length) if length > limit && self.inbox.rest().len() >= limit => {
+                Next::NeedsMemory(MemoryRequest { bytes: length.min(2 * limit), length })
+            }
+            _ => self.wait(now),
+        }
+    }
+
     /// Waits for more data, which may already be in the socket.
     fn wait(&mut self, now: Micros) -> Next {
         if !self.more {
@@ -311,7 +388,10 @@
 
     fn opening(&mut self, now: Micros) -> Next {
         match frames::opening(self.inbox.rest(), MAX_STARTUP_BYTES) {
-            Ok(None) => self.wait(now),
+            Ok(None) => {
+                let length = frames::stated_opening_length(self.inbox.rest());
+                self.wait_for_message(now, length)
+            }
             Ok(Some((SSL_REQUEST_CODE | GSS_REQUEST_CODE, length))) => {
                 self.consume(length);
                 self.answer(&[b"N"])
--- a/crates/gateway/src/wire/frames.rs
+++ b/crates/gateway/src/wire/frames.rs
@@ -39,6 +39,16 @@
     Ok((input.len() > length).then_some((*kind, length + 1)))
 }
 
+/// Length of the message at the front with its header, as the header states it; `None` if that is incomplete.
+pub fn stated_length(input: &[u8]) -> Option<usize> {
+    number(input.get(1..)?)?.checked_add(1).map(|length| length as usize)
+}
+
+/// The same of a client's first message, which has no type.
+pub fn stated_opening_length(input: &[u8]) -> Option<usize> {
+    number(input).map(|length| length as usize)
+}
+
 /// First message of a client before a session: its code and length.
 pub fn opening(input: &[u8], most: usize) -> Result<Option<(u32, usize)>, ()> {
     let Some(length) = number(input) else { return Ok(None) };
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -53,7 +53,10 @@
 /// Result of reading messages.
 #[derive(Debug, PartialEq)]
 pub enum Event {
+    /// The next message is incomplete.
     Nothing,
+    /// The same, and memory for this many bytes must be reserved before more of it is read.
+    NeedsMemory(usize),
     /// The startup is complete.
     Ready,
     /// The answer is complete, at these ranges of the inbox.
@@ -68,31 +71,59 @@
 pub struct ProtocolState {
     pub phase: Phase,
     pub inbox: Inbox,
+    /// Bytes that the inbox may hold: without a reservation, and with the one for the answer.
+    unreserved: usize,
+    reserved: usize,
     pub server_answer: ServerAnswer,
     /// Ranges of the answer's messages so far, and how far the inbox was scanned.
     answer: Vec<Range<usize>>,
     scanned: usize,
 }
 
-impl Default for ProtocolState {
-    fn default() -> Self {
+impl ProtocolState {
+    /// Creates the state of a connection that is being opened; its inbox holds `unreserved` bytes without a reservation.
+    pub fn new(unreserved: usize) -> Self {
         ProtocolState {
             phase: Phase::Connecting,
             inbox: Inbox::default(),
+            unreserved,
+            reserved: 0,
             server_answer: ServerAnswer::default(),
             answer: Vec::new(),
             scanned: 0,
         }
     }
-}
 
-impl ProtocolState {
+    /// Most bytes that the inbox may hold; the rest stays in the socket.
+    fn read_limit(&self) -> usize {
+        self.reserved + self.unreserved
+    }
+
+    /// Reserves memory for an answer of this many bytes up to the end of the message that is incomplete.
+    pub fn reserve(&mut self, bytes: usize) {
+        self.reserved = bytes;
+        self.inbox.reserve(bytes);
+    }
+
+    /// Waits for the rest of a message, unless the answer becomes too long with it.
+    fn wait_for_message(&self) -> Event {
+        let stated = frames::stated_length(&self.inbox.rest()[self.scanned..]);
+        let needed = self.scanned + stated.unwrap_or(frames::HEADER_BYTES);
+        if needed > MAX_ANSWER_BYTES {
+            Event::Invalid
+        } else if needed > self.read_limit() {
+            Event::NeedsMemory(needed)
+        } else {
+            Event::Nothing
+        }
+    }
+
     /// Handles messages up to the next significant one.
     pub fn next_event(&mut self, now: Micros) -> Event {
         loop {
             let (kind, length) = match frames::first(&self.inbox.rest()[self.scanned..], MAX_MESSAGE_BYTES) {
                 Ok(Some(first)) => first,
-                Ok(None) => return Event::Nothing,
+                Ok(None) => return self.wait_for_message(),
                 Err(_) => return Event::Invalid,
             };
             let here = self.scanned..self.scanned + length;
@@ -148,6 +179,7 @@
 
     fn drop_scanned(&mut self) {
         self.inbox.consume(self.scanned);
+        self.reserved = 0;
         self.scanned = 0;
         self.answer.clear();
     }
@@ -168,6 +200,8 @@
     pub due: Timer,
     /// Timeout of its job, which may be later while the connection is being opened.
     pub job_due: Micros,
+    /// More data may be in the socket.
+    pub more: bool,
     pub ended: bool,
     /// Whether it replaces one that broke while being opened, or must not be replaced.
     pub reopened: bool,
@@ -175,26 +209,40 @@
 
 impl ServerConnection {
     /// Creates a connection that is being opened.
-    pub fn new(server: usize, stream: Rc<TcpStream>, token: RegistrationToken, now: Micros) -> Self {
+    pub fn new(
+        server: usize,
+        stream: Rc<TcpStream>,
+        token: RegistrationToken,
+        now: Micros,
+        unreserved: usize,
+    ) -> Self {
         ServerConnection {
             server,
             stream,
             token,
-            protocol: ProtocolState::default(),
+            protocol: ProtocolState::new(unreserved),
             outbox: Outbox::default(),
             job: None,
             idle_since: now,
             written: None,
             due: Timer::default(),
             job_due: 0,
+            more: false,
             ended: false,
             reopened: false,
         }
     }
 
-    /// Reads available data.
+    /// Reads available data, as much as the inbox may hold.
     pub fn read(&mut self) {
-        self.ended |= self.protocol.inbox.read(&self.stream, MAX_ANSWER_BYTES) != ReadResult::Drained;
+        let result = self.protocol.inbox.read(&self.stream, self.protocol.read_limit());
+        self.more = result == ReadResult::Full;
+        self.ended |= matches!(result, ReadResult::Ended | ReadResult::Reset);
+    }
+
+    /// Memory used by its buffers in bytes.
+    pub fn memory(&self) -> usize {
+        self.protocol.inbox.memory() + self.outbox.memory()
     }
 
     /// Whether an idle connection is usable: no data arrived, and the server has not closed it.
@@ -278,7 +326,7 @@
         let health = message(b'S', b"health\0x0=1767225600.5,x1=0,pending=3\0");
         let bytes = [row.clone(), told, health, message(b'Z', b"I")].concat();
         for split in 0..bytes.len() {
-            let mut talk = ProtocolState { phase: Phase::Busy, ..ProtocolState::default() };
+            let mut talk = ProtocolState { phase: Phase::Busy, ..ProtocolState::new(MAX_ANSWER_BYTES) };
             let mut heard = Vec::new();
             for part in [&bytes[..split], &bytes[split..]] {
                 talk.inbox.append(part);
@@ -405,7 +453,7 @@
             ("a value beyond all", b"D\xb2\xd0\x5e\x0a\0\x01".to_vec(), Event::Invalid, None),
             ("a startup out of turn", message(b'R', &[0; 4]), Event::Invalid, None),
         ] {
-            let mut talk = ProtocolState { phase: Phase::Busy, ..ProtocolState::default() };
+            let mut talk = ProtocolState { phase: Phase::Busy, ..ProtocolState::new(MAX_ANSWER_BYTES) };
             talk.inbox.append(&[said, message(b'Z', b"I")].concat());
             assert_eq!(talk.next_event(0), heard, "{what}");
             assert_eq!(talk.server_answer.ending, ending, "{what}");
--- a/crates/gateway/src/wire/statement.rs
+++ b/crates/gateway/src/wire/statement.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, PartialEq)]
 pub struct CommandHead<'a> {
     pub id: &'a str,
+    /// Position of the id.
+    pub id_at: Range<usize>,
     /// Whether it writes, and whether it has a deduplication key.
     pub writes: bool,
     pub keyed: bool,
@@ -73,7 +75,7 @@
             names.push(name.trim());
             let number = || value.parse::<u64>().map_err(|_| format!("'{}' is not a number", name.trim()));
             match name.trim() {
-                "id" => id = Some(value),
+                "id" => id = Some((value, start..start + value.len())),
                 "c" => command_group = Some(value),
                 "d" => wait = Some((number()?, start..start + value.len())),
                 "cluster" => group = Some(value),
@@ -82,7 +84,7 @@
                 _ => {}
             }
         }
-        let id = id.filter(|id| !id.is_empty()).ok_or("'id' is missing")?;
+        let (id, id_at) = id.filter(|(id, _)| !id.is_empty()).ok_or("'id' is missing")?;
         if !id.bytes().all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')) {
             return Err("'id' is no word".into());
         }
@@ -93,6 +95,7 @@
         let command_group = command_group.ok_or("'c' is missing")?;
         Ok(CommandHead {
             id,
+            id_at,
             writes,
             keyed,
             command_group,
@@ -157,6 +160,7 @@
     /// Checks that the parsed ranges fit the message, and that the rewritten message parses to the same.
     fn holds_together(message: &[u8], new: u64) {
         let Ok(head) = CommandHead::read(message) else { return };
+        assert_eq!(&message[head.id_at.clone()], head.id.as_bytes());
         let wait = std::str::from_utf8(&message[head.wait_at.clone()]).expect("text");
         assert_eq!(wait.parse(), Ok(head.wait));
         let parts = new_wait(message, &head.wait_at, new);
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -135,6 +135,11 @@
         Ok(notes.asked.len() - 1)
     }
 
+    /// The statement that arrived as this one.
+    pub fn statement(&self, place: usize) -> String {
+        self.notes.lock().expect("the notes").asked[place].clone()
+    }
+
     /// Answers as an up-to-date primary or replica.
     pub fn answer(&mut self, primary: bool, value: &[u8]) -> std::io::Result<()> {
         let recovery = if primary { "off" } else { "on" };
@@ -238,6 +243,15 @@
     }
 }
 
+/// A connection with small buffers, so that most of what is sent to it waits at the sender.
+pub fn narrow_stream(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    // The sender's buffer grows with the segment size.
+    socket.set_tcp_mss(536).and_then(|()| socket.set_recv_buffer_size(4_096)).expect("options");
+    socket.connect(&address.into()).expect("it listens");
+    socket.into()
+}
+
 /// Makes closing a connection send a reset.
 pub fn resets(stream: &TcpStream) {
     SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("an option");
