Each command read whole gets an answer where memory is short or its connection ends

Cause: a lack of memory for one message ended its connection, and shutting a connection down dropped all that had been read. On related paths: commands behind an empty query before the first list (one 57P03 for all), the end of a stop, a time-out in the turn in which a message comes in whole.

Change: a message that finds no memory is read without being stored and answered with 53300 and the usual advice (Router::reject_unread); the connection goes on. Client::shut_down answers each command that was read and not begun with 57P03. Only what can't be told apart behind a malformed message still gets one error.

Why it works: no path drops an inbox with whole queries in it any more except behind a malformed message.

--- a/crates/cli/tests/ending.rs
+++ b/crates/cli/tests/ending.rs
@@ -207,6 +207,29 @@
     });
 }
 
+/// Guards against one error for all commands of a connection that wait for the first list (incident 19).
+#[test]
+fn each_command_sent_ahead_is_answered_when_a_process_without_a_list_ends() {
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    agent.says_nothing(true);
+    let mut gateway = Gateway::launch(PROGRAM, agent.address, 64, "null");
+    wait_until("the listener", || TcpStream::connect(gateway.address).is_ok());
+    let mut client = sent(&gateway, "");
+    for id in 1..=3 {
+        client.send(&read(id));
+    }
+    std::thread::sleep(50 * MS);
+    gateway.signal("TERM");
+    assert_eq!(client.reply(), Reply::Ready);
+    for place in 0..4 {
+        let reply = client.reply();
+        assert!(reply.throttled(), "{place}: {reply:?}");
+    }
+    assert_eq!(client.reply(), Reply::Ended);
+    assert!(gateway.ended());
+}
+
 /// Commands whose clients wait for longer than the process lasts, wherever they are at SIGTERM: held without a primary,
 /// waiting for a connection, half answered.
 #[test]
--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -52,7 +52,7 @@
 }
 
 fn answered(reply: &Reply) -> bool {
-    matches!(reply, Reply::Value(_) | Reply::Error(..))
+    matches!(reply, Reply::Value(_)) || reply.throttled()
 }
 
 /// A server that holds reads and writes back until they are released. A replica rejects writes.
@@ -97,6 +97,39 @@
     }
 }
 
+/// Guards against one error for many commands that were read whole, where memory is short (incident 19).
+#[test]
+fn commands_sent_at_once_each_get_an_answer_where_memory_is_short() {
+    let (reads, writes) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+    let (primary, replica) = (holds(true, &reads, &writes), holds(false, &reads, &writes));
+    let gateway = gateway(primary.address, replica.address);
+    let long = |id: u32| query(&write(id).replace("9f03", &"9f".repeat(VALUE_BYTES)));
+    let mut waiting: Vec<Client> = Vec::new();
+    // Most are sent at once, then one at a time until one is rejected.
+    for id in 0.. {
+        let mut client = gateway.client();
+        client.stream.write_all(&long(id)).expect("it is sent");
+        client.stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a bound");
+        let rejected = id >= 40 && client.stream.peek(&mut [0]).is_ok();
+        client.stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a bound");
+        waiting.push(client);
+        if rejected {
+            break;
+        }
+    }
+    let mut client = gateway.client();
+    let bundle: Vec<u8> = (100..112).flat_map(long).collect();
+    client.stream.write_all(&bundle).expect("it is sent");
+    let replies: Vec<Reply> = (0..12).map(|_| client.reply()).collect();
+    assert!(replies.iter().all(Reply::throttled), "{replies:?}");
+    assert_eq!(client.ask(&read(120)), Reply::Value(b"held".to_vec()));
+    writes.store(true, Ordering::SeqCst);
+    for (n, client) in waiting.iter_mut().enumerate() {
+        let reply = client.reply();
+        assert!(answered(&reply), "client {n}: {reply:?}");
+    }
+}
+
 /// Guards against answers that fill the memory: of servers that stop half way, and for clients that do not read.
 #[test]
 fn answers_stay_within_the_memory_while_servers_stall_or_clients_do_not_read() {
--- a/crates/gateway/src/gateway/buffers.rs
+++ b/crates/gateway/src/gateway/buffers.rs
@@ -3,6 +3,7 @@
 use tracing::warn;
 
 use super::Gateway;
+use super::commands::final_error;
 use crate::memory::buffers::{BufferLimits, BufferUse};
 use crate::wire::client::MemoryRequest;
 
@@ -17,17 +18,19 @@
         used
     }
 
-    /// Reserves memory for a client's message, or rejects the client.
+    /// Reserves memory for a client's message. Without any left, the message is read without being stored, and rejected:
+    /// a command that nothing was sent for may be tried again.
     pub(super) fn reserve_message(&mut self, key: u64, request: MemoryRequest) {
         let MemoryRequest { bytes, length } = request;
         let (limits, mut used) = (self.buffer_limits(), self.buffer_use());
+        let answer = self.router.reject_unread();
         let Some(client) = self.clients.get(key) else { return };
         used.messages -= client.message_memory();
         if limits.admits_message(used, bytes) {
             client.reserve(bytes);
         } else {
             warn!(target: "limits", "no memory left for a client's message of {length} bytes");
-            client.refuse("53200", "no memory left for the message");
+            client.skip(length, final_error(answer));
         }
     }
 
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -307,7 +307,7 @@
         let Some(client) = self.clients.get(key).filter(|client| !client.is_closing()) else { return };
         // A client that waits for a server list with an empty query must not keep its connection open.
         if client.has_waiting_message() && !self.ready {
-            client.refuse("57P03", "this gateway ends");
+            client.shut_down();
             return;
         }
         if !client.is_idle() {
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -87,7 +87,7 @@
                 }
                 // If data waits to be read, a final message would not be read either.
                 let over = client.is_closing() || !client.outbox.is_empty();
-                if over || matches!(client.refuse("08P01", "it did not come in whole in time"), Next::Close) {
+                if over || matches!(client.time_out(), Next::Close) {
                     self.close_client(key);
                 }
                 self.update_client_timeout(key);
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -255,12 +255,11 @@
         if self.in_hand.is_some() || !self.outbox.is_empty() {
             return Next::Wait;
         }
-        if self.skipped.as_ref().is_some_and(|skipped| skipped.left > 0) {
-            return self.wait(now);
+        if let Some(answered) = self.answer_skipped() {
+            return answered;
         }
-        if let Some(skipped) = self.skipped.take() {
-            self.handled += 1;
-            return self.answer(&[&skipped.answer, frames::READY]);
+        if self.skipped.is_some() {
+            return self.wait(now);
         }
         if self.phase == Phase::Startup {
             return self.opening(now);
@@ -411,16 +410,55 @@
         }
     }
 
-    /// Sends a final error and shuts down the connection.
+    /// Sends a final error and shuts down the connection. Only for a message at the front that cannot be read: what is
+    /// behind it cannot be told apart.
     pub fn refuse(&mut self, code: &str, message: &str) -> Next {
         let error = frames::error("FATAL", code, message, None);
         if let Next::Close = self.answer(&[&error]) {
             return Next::Close;
         }
+        self.close_input();
+        Next::Answered
+    }
+
+    /// Ends a connection whose time is over: for an incomplete message with an error, else as [`Client::shut_down`].
+    pub fn time_out(&mut self) -> Next {
+        let whole = self.skipped.as_ref().is_some_and(|skipped| skipped.left == 0);
+        if !whole && self.whole_query().is_none() {
+            return self.refuse("08P01", "it did not come in whole in time");
+        }
         self.shut_down();
         Next::Answered
     }
 
+    /// Length of the message at the front if it is a whole query.
+    fn whole_query(&self) -> Option<usize> {
+        let first = frames::first(self.inbox.rest(), MAX_MESSAGE_BYTES);
+        first
+            .ok()
+            .flatten()
+            .filter(|(kind, _)| self.phase == Phase::Open && *kind == b'Q')
+            .map(|(_, length)| length)
+    }
+
+    /// Answers a skipped message once it was read whole; `None` if there is none.
+    fn answer_skipped(&mut self) -> Option<Next> {
+        let skipped = self.skipped.take_if(|skipped| skipped.left == 0)?;
+        self.handled += 1;
+        Some(self.answer(&[&skipped.answer, frames::READY]))
+    }
+
+    /// Answers the whole queries that were read and that nothing was sent for: their clients may try them elsewhere.
+    fn reject_unserved(&mut self) {
+        self.answer_skipped();
+        while let Some(length) = self.whole_query() {
+            self.consume(length);
+            let error = frames::error("ERROR", "57P03", "this connection ends; nothing was sent", None);
+            // If the client has gone, nobody waits for the answers.
+            self.answer(&[&error, frames::READY]);
+        }
+    }
+
     /// Writes an answer; what the socket does not accept is written later.
     pub fn answer(&mut self, parts: &[&[u8]]) -> Next {
         if self.outbox.write(&self.stream, parts).is_err() { Next::Close } else { Next::Answered }
@@ -445,8 +483,14 @@
         Some(in_hand)
     }
 
-    /// Shuts down this side and drops further input, so that no reset overtakes the last answer.
+    /// Shuts down this side, with an error for each query that was read whole and not begun.
     pub fn shut_down(&mut self) {
+        self.reject_unserved();
+        self.close_input();
+    }
+
+    /// Shuts down this side and drops further input, so that no reset overtakes the last answer.
+    fn close_input(&mut self) {
         self.phase = Phase::Closing;
         self.drop_front(usize::MAX);
         // A shutdown now would cut off an answer that the socket has not accepted yet.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -679,10 +679,22 @@
         if !repeatable && possibly_executed(pending).next().is_some() {
             return Placement::Abandon(FinalAnswer::Failed);
         }
-        let advice = (command_group.response_target as f64 * RETRY_AFTER_SHARE)
-            .min(self.number("limits.max_come_back", 0.0));
-        let come_back = if self.flag("limits.come_back", false) { advice as Micros } else { 0 };
-        Placement::Abandon(FinalAnswer::Throttled { retry_after: come_back })
+        Placement::Abandon(self.throttled(command_group.response_target))
+    }
+
+    /// Rejects a command with advice on when to retry, where the settings allow it.
+    fn throttled(&self, response_target: Micros) -> FinalAnswer {
+        let advice =
+            (response_target as f64 * RETRY_AFTER_SHARE).min(self.number("limits.max_come_back", 0.0));
+        let allowed = self.flag("limits.come_back", false);
+        FinalAnswer::Throttled { retry_after: if allowed { advice as Micros } else { 0 } }
+    }
+
+    /// The final answer to a command that the host could not read for lack of memory, so that its command group is not
+    /// known and nothing was sent for it.
+    pub fn reject_unread(&self) -> FinalAnswer {
+        let targets = self.command_groups.iter().map(|command_group| command_group.response_target);
+        self.throttled(targets.max().unwrap_or(0))
     }
 
     /// Records a dispatch and returns it as the placement.
