Programs under test get addresses of their own, not ports that were free a moment ago

Seen: restarted_processes_are_ready_in_time failed once in a run of the whole suite: 20 s without an answer to an empty query.

Cause, from a trace of the failing form in a loop: the gateway had ended at its start, "'listen' 127.0.1.6:46083: Address already in use". The rig binds port 0 at an address of the gateway's own, closes it and starts the program; a process that another thread starts in between still holds the socket until it executes its program. Nothing in the gateway: the address is bound before anything that changed lately.

Change: unused_address gives each program a host of its own and a port of the test's process below those that the system gives out. No test, bound or check changes.

--- a/crates/cli/tests/logging.rs
+++ b/crates/cli/tests/logging.rs
@@ -1,16 +1,18 @@
 //! Logging of `serve` according to the settings.
 
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use tansyjunction_standin::scripted::unused_address;
+
 const CONFIG: &str = r#"{"name":"n0","listen":"LISTEN","discovery":"127.0.0.2:9","settings":{"my_zone":"a",
     "localities":["a"],"categories":[{"name":"look","aim":400000000,"hard_limit":1500000000,"effect":"pure"}]}}"#;
 
 /// Runs the program until it has logged `line` or, without one, for a moment; returns the log.
 fn logged(settings: &str, line: Option<&str>) -> String {
     let folder = tempfile::tempdir().expect("a folder");
-    let listen = TcpListener::bind("127.0.0.3:0").and_then(|l| l.local_addr()).expect("a free port");
+    let listen = unused_address();
     let (config, ini) = (folder.path().join("config.json"), folder.path().join("tansyjunction.ini"));
     std::fs::write(&config, CONFIG.replace("LISTEN", &listen.to_string())).expect("a file");
     std::fs::write(&ini, settings).expect("a file");
--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -2,14 +2,14 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value as Json, json};
+use tansyjunction_standin::scripted::unused_address;
 use tansyjunction_standin::{Client, Discovery, Reply, Store};
 
 pub const MS: Duration = Duration::from_millis(1);
@@ -25,12 +25,7 @@
 impl Gateway {
     pub fn start(number: usize, of: usize, discovery: SocketAddr, holds: bool) -> Gateway {
         let folder = tempfile::tempdir().expect("a folder");
-        // An address of its own: on a shared one, another test could be given the port before it
-        // listens.
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let own = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let own = format!("127.0.{}.{}:0", 100 + own / 200, 1 + own % 200);
-        let address = TcpListener::bind(own).and_then(|l| l.local_addr()).expect("a free port");
+        let address = unused_address();
         let control = folder.path().join("control");
         let config = json!({
             "name": format!("n{number}"), "listen": address.to_string(), "discovery": discovery.to_string(),
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -18,6 +18,10 @@
 /// Timeout of every wait in a test.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Ports of programs under test: below those that systems give out by default (32,768 on).
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u32 = 20_000;
+
 /// Waits until the condition holds.
 pub fn wait_until(what: &str, mut so: impl FnMut() -> bool) {
     let began = Instant::now();
@@ -27,6 +31,16 @@
     }
 }
 
+/// An address for a program under test. No other test of this process gets its host, nor another process its port,
+/// which is below those that the system gives out. A port that was found to be free by binding it would not do: a process
+/// that another thread starts meanwhile may hold it for a moment longer.
+pub fn unused_address() -> SocketAddr {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let host = [127, 0, 1 + (number / 200) as u8, 1 + (number % 200) as u8];
+    SocketAddr::from((host, FIRST_PORT + (std::process::id() % PORT_COUNT) as u16))
+}
+
 /// Reaction of a server to a statement.
 #[derive(Clone)]
 pub enum Reaction {
@@ -496,12 +510,10 @@
         granted: Option<usize>,
         config: impl FnOnce(SocketAddr) -> String,
     ) -> Self {
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let n = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let own = format!("127.0.{}.{}:0", 1 + n / 200, 1 + n % 200);
-        let free = TcpListener::bind(own).and_then(|l| l.local_addr()).expect("a free port");
-        let path = std::env::temp_dir().join(format!("tansyjunction-{}-{n}.json", std::process::id()));
-        std::fs::write(&path, config(free)).expect("a file");
+        let own = unused_address();
+        let name = format!("tansyjunction-{}-{}.json", std::process::id(), own.ip());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, config(own)).expect("a file");
         let mut command = Command::new(program);
         if let Some(granted) = granted {
             command = Command::new("sh");
@@ -513,7 +525,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
-        Gateway { address: free, child, config: path, sockets }
+        Gateway { address: own, child, config: path, sockets }
     }
 
     /// Its process id.
