A session sees its own write whose commit was not told, or not yet

Cause: the answer is passed on at CommandComplete, while the write was remembered at the end of its dispatch and only with the commit that comes behind the answer. On related paths: a connection that stalls there, in which time the dispatch has not ended; servers whose answers tell no position.

Change: Router::on_answer notes the moment at which the answer is passed on, as an upper bound of the commit; the end of the dispatch replaces it by the commit, or keeps it. src/balance/session_writes.rs holds both for each write, since the commit of one tells nothing of another's.

Why it works: a write has committed before its answer arrives, and positions are times of the same clock, so no read is sent to data from before the write, whichever way the dispatch ends.

--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -87,6 +87,36 @@
     });
 }
 
+/// Guards against a session that misses its own write, whose connection breaks behind the answer or tells no commit
+/// for a while (incident 20).
+#[test]
+fn a_session_sees_its_write_whose_connection_breaks_or_stalls_behind_the_answer() {
+    for breaks in [true, false] {
+        let primary = GatedServer::start(usize::MAX, move |met| {
+            let place = met.whole()?;
+            if met.statement(place).starts_with("SELECT") {
+                return met.answer(true, b"new").map(|()| true);
+            }
+            met.stream.write_all(&row(b"new"))?;
+            std::thread::sleep(if breaks { 100 * MS } else { 2_000 * MS });
+            resets(met.stream);
+            Ok(false)
+        });
+        let replica = plain(false, "old");
+        let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, "up", false)];
+        let (discovery, _changes) = discovery(list(1, true, &entries));
+        let kept =
+            settings("silent", 4).replace(r#""needs_by_class":["eventual""#, r#""needs_by_class":["causal""#);
+        let kept = kept.replace(r#""guards":"silent""#, r#""guards":"silent","write_marks":"kept""#);
+        let gateway = Gateway::with_settings(PROGRAM, discovery, &kept);
+        let mut client = gateway.client();
+        assert_eq!(client.ask(&statement("look", 1, 5_000)), value("old"), "breaks: {breaks}");
+        assert_eq!(client.ask(&statement("once", 2, 5_000)), value("new"), "breaks: {breaks}");
+        std::thread::sleep(300 * MS);
+        assert_eq!(client.ask(&statement("look", 3, 5_000)), value("new"), "breaks: {breaks}");
+    }
+}
+
 /// A command that waits for its connection while its server is listed as draining or gone goes elsewhere, without
 /// using up an attempt: only one is allowed here.
 #[test]
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -115,6 +115,7 @@
                 }
                 Event::Answer(parts) => {
                     if let Some(Job::Command { command, .. }) = connection.job {
+                        self.commands.on_answer(&mut self.router, now, command);
                         self.forward_answer(key, command, &parts);
                     }
                 }
@@ -251,7 +252,6 @@
         let mut bytes: Vec<&[u8]> = parts.iter().map(|part| &rest[part.clone()]).collect();
         bytes.push(frames::READY);
         let written = client.answer(&bytes);
-        self.commands.mark_finished(command);
         self.on_answered(command, written);
     }
 
--- a/crates/hosting/src/pending_commands.rs
+++ b/crates/hosting/src/pending_commands.rs
@@ -117,8 +117,16 @@
         }
     }
 
+    /// Records that a server's answer goes to the client as the final one; its dispatch ends later.
+    pub fn on_answer(&mut self, router: &mut Router, now: Micros, id: u64) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.finished = true;
+            router.on_answer(now, &entry.pending);
+        }
+    }
+
     /// Records that the command has its final answer.
-    pub fn mark_finished(&mut self, id: u64) {
+    fn mark_finished(&mut self, id: u64) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.finished = true;
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,7 +3,7 @@
 //! [`Router`] is a state machine without I/O, clock or threads. The host asks it three questions:
 //! [`Router::place`] (where to send a command: now, later or not at all), [`Router::on_outcome`] (what to do
 //! after a dispatch has ended) and [`Router::next_check`] (when to ask again, and which probes are due). It
-//! passes on events with [`Router::update_server_list`], [`Router::on_probe_result`],
+//! passes on events with [`Router::update_server_list`], [`Router::on_probe_result`], [`Router::on_answer`],
 //! [`Router::on_peer_observation`] and [`Router::on_client_gone`]. The types are in `interface.rs`. The host
 //! keeps the timers and the commands with their dispatch history and makes no decision of its own.
 //!
@@ -22,12 +22,14 @@
 //! 6. Primary search: without a healthy primary, writes and more frequent probes look for the next one.
 
 mod diagnosis;
+mod session_writes;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
+use self::session_writes::SessionWrites;
 use crate::decaying_sum::DecayingSum;
 use crate::interface::*;
 use crate::rng::SeededRng;
@@ -255,8 +257,8 @@
     groups: BTreeMap<usize, Group>,
     /// Replica that a session stays on, with the command group and the primary epoch of its group at that time.
     session_replicas: BTreeMap<usize, (usize, usize, u64)>,
-    /// Position of each session's last write, where the router has to remember it.
-    session_writes: BTreeMap<usize, Micros>,
+    /// Writes of each session, where the router has to remember them.
+    session_writes: BTreeMap<usize, SessionWrites>,
     list_request_due: Option<Micros>,
     /// Members whose queue is to be probed now.
     queue_probes: Vec<usize>,
@@ -801,7 +803,10 @@
             Need::Session if self.text("session_marks") == "carried" => {
                 command.last_write_age.filter(|ago| *ago > 0).map(|ago| command.arrived.saturating_sub(ago))
             }
-            Need::Session => command.session.and_then(|session| self.session_writes.get(&session).copied()),
+            Need::Session => command
+                .session
+                .and_then(|session| self.session_writes.get(&session))
+                .map(SessionWrites::position),
             _ => None,
         }
     }
@@ -1108,19 +1113,29 @@
         if age >= cold { 1.0 } else { from + (1.0 - from) * age / cold }
     }
 
+    fn is_write(&self, command: &Command) -> bool {
+        let command_group = self.command_groups.get(command.command_group);
+        command_group.is_some_and(|command_group| command_group.need == Need::Write)
+    }
+
+    /// Notes that the answer to this command goes to its client now, before its dispatch has ended. Not needed where
+    /// both happen at once.
+    pub fn on_answer(&mut self, now: Micros, pending: &PendingCommand) {
+        if let Some(session) = pending.command.session.filter(|_| self.is_write(&pending.command)) {
+            self.session_writes.entry(session).or_default().on_answer(now);
+        }
+    }
+
     /// Records the end of a dispatch and says whether the command is finished.
     pub fn on_outcome(&mut self, now: Micros, pending: &PendingCommand, outcome: &Outcome) -> NextStep {
         let Some(dispatch) = pending.dispatches.get(outcome.dispatch) else { return NextStep::PlaceAgain };
-        let index = pending.command.command_group;
         self.record_outcome(now, pending, dispatch, outcome);
-        let commit = outcome.answer_report.position.filter(|_| outcome.ending == DispatchEnd::Answered);
-        let write =
-            self.command_groups.get(index).is_some_and(|command_group| command_group.need == Need::Write);
-        let stated = if write && commit.is_some() {
-            if let (Some(session), Some(commit)) = (pending.command.session, commit) {
-                // A hedged write's answer may report an earlier commit after that of the next write.
-                let last = self.session_writes.entry(session).or_default();
-                *last = commit.max(*last);
+        let write = self.is_write(&pending.command);
+        let stated = if write && outcome.ending == DispatchEnd::Answered {
+            let commit = outcome.answer_report.position;
+            if let Some(session) = pending.command.session {
+                let writes = self.session_writes.entry(session).or_default();
+                writes.on_dispatch_ended(now, dispatch.sent + outcome.took, commit);
             }
             Report { position: None, ..outcome.answer_report }
         } else if write && outcome.ending == DispatchEnd::Missed {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -84,6 +84,70 @@
     }
 }
 
+/// Guards against a session that misses its own write whose commit is not known, or not yet (incident 20).
+#[test]
+fn a_session_sees_its_answered_writes_whether_their_commits_are_known_or_not() {
+    enum Event {
+        /// The answer to the first or second write is passed on.
+        Answer(usize),
+        /// Its dispatch ends, with a commit so many ms after the start if the server stated it.
+        End(usize, Option<Micros>),
+    }
+    use Event::{Answer, End};
+    // Events 100 ms apart from 100 ms on, and the position in ms that a replica needs for the session's read.
+    for (events, needed) in [
+        (vec![Answer(0)], 100),
+        (vec![Answer(0), End(0, None)], 100),
+        (vec![Answer(0), End(0, Some(90))], 90),
+        (vec![End(0, None)], 100),
+        (vec![End(0, Some(90))], 90),
+        // Of two writes, the commit of one tells nothing of the other's.
+        (vec![Answer(0), Answer(1), End(1, Some(50))], 100),
+        (vec![Answer(0), Answer(1), End(0, Some(90))], 200),
+        (vec![Answer(0), Answer(1), End(1, Some(50)), End(0, Some(90))], 90),
+        (vec![Answer(0), Answer(1), End(0, None), End(1, Some(150))], 150),
+    ] {
+        for enough in [true, false] {
+            let text = |text: &str| Value::Text(text.into());
+            let mut store = Store::calm(&[("guards", text("none")), ("session_marks", text("remembered"))]);
+            let start = store.now;
+            let mut writes = [store.command(MUTATING), store.command(MUTATING)];
+            let mut answered = [None; 2];
+            for write in &mut writes {
+                store.put(write, 0);
+            }
+            for event in &events {
+                store.now += 100 * MS;
+                match *event {
+                    Answer(n) => {
+                        answered[n] = Some(store.now);
+                        store.router.on_answer(store.now, &writes[n]);
+                    }
+                    End(n, commit) => {
+                        writes[n].dispatches[0].ended = Some(DispatchEnd::Answered);
+                        let position = commit.map(|at| start + at * MS);
+                        let outcome = Outcome {
+                            dispatch: 0,
+                            ending: DispatchEnd::Answered,
+                            took: answered[n].unwrap_or(store.now) - start,
+                            finished: true,
+                            answer_report: Report { position, ..Report::default() },
+                            load_report: None,
+                        };
+                        store.router.on_outcome(store.now, &writes[n], &outcome);
+                    }
+                }
+            }
+            let reached = start + needed * MS - u64::from(!enough);
+            for replica in [1, 2] {
+                store.probe(replica, MS, false, store.now - reached);
+            }
+            let mut read = store.command(SESSION);
+            assert_eq!(store.sent(&mut read) != 0, enough, "{needed} ms, enough: {enough}");
+        }
+    }
+}
+
 #[test]
 fn without_a_fresh_replica_the_primary_reads_after_the_most_advanced_one() {
     // How members treat a read that they are too far behind for, their lags, and the expected target.
