--- a/src/balance/diagnosis.rs
+++ b/src/balance/diagnosis.rs
@@ -30,7 +30,7 @@
                 |b| !primary && !self.is_fresh_enough(now, *server, b, self.servers_check_freshness());
             let lack = if !member.serving {
                 MissingRequirement::Serving
-            } else if member.down || member.refused_at.is_some_and(|at| now < at + REFUSED_AVOID_TIME) {
+            } else if member.down || member.recently_refused(now) {
                 MissingRequirement::Reach
             } else if !self.is_healthy(now, *server) {
                 MissingRequirement::Wellness
