Buffers grow by little, arrival times are bounded, and 576 KiB are read ahead

Cause, from the sockets at that moment: 13,233 bytes lay unread, and the system kept the receive window closed over them, so that the rest and the end stayed with the sender. Reading also stopped at 64 arrival times.

Arrival times beyond 256 are merged in pairs, the earlier one kept. A buffer grows by 4 KiB at most beyond what it is given: doubling took twice the memory of a long message for a few bytes behind it. A command in progress is left alone by the timeout of its connection.

--- a/crates/gateway/src/memory/buffers.rs
+++ b/crates/gateway/src/memory/buffers.rs
@@ -51,9 +51,9 @@
         used.messages + used.other + bytes <= self.memory / TOTAL_DIVISOR
     }
 
-    /// Bytes that may be read ahead of their turn on one connection. A buffer may grow to twice its contents.
+    /// Bytes that may be read ahead of their turn on one connection.
     pub fn read_ahead(&self, used: BufferUse) -> usize {
-        (self.memory / AHEAD_DIVISOR).saturating_sub(used.messages) / 2
+        (self.memory / AHEAD_DIVISOR).saturating_sub(used.messages)
     }
 }
 
--- a/crates/gateway/src/wire/bytes.rs
+++ b/crates/gateway/src/wire/bytes.rs
@@ -8,6 +8,9 @@
 /// Bytes per read.
 const CHUNK_BYTES: usize = 16 * 1_024;
 
+/// Most bytes by which a buffer grows beyond what it is given.
+const MAX_GROWTH_BYTES: usize = 4 * 1_024;
+
 /// Result of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadResult {
@@ -76,6 +79,10 @@
             self.bytes.drain(..self.used);
             self.used = 0;
         }
+        // Doubling would take twice the memory of a long message for a few bytes behind it.
+        if self.bytes.capacity() - self.bytes.len() < bytes.len() {
+            self.bytes.reserve_exact(bytes.len().max(self.bytes.len().min(MAX_GROWTH_BYTES)));
+        }
         self.bytes.extend_from_slice(bytes);
     }
 }
@@ -152,3 +159,6 @@
         self.write(stream, &[])
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -17,13 +17,13 @@
 pub const MAX_MESSAGE_BYTES: usize = 2 * 65_536 + 4_096;
 /// Longest message that is skipped; a larger length means that framing is lost.
 const MAX_SKIPPED_BYTES: usize = 64 * 1_024 * 1_024;
-/// Most bytes read beyond the pending command while there is memory, to notice that its client leaves: finds an end
-/// behind everything sent ahead, on any system.
-const MAX_READ_AHEAD_BYTES: usize = 512 * 1_024;
+/// Most bytes read beyond the pending command while there is memory, to notice that its client leaves. An end behind
+/// more than that may not come through: the system closes the receive window over a few unread bytes.
+const MAX_READ_AHEAD_BYTES: usize = 576 * 1_024;
 /// Most bytes of a skipped message that are read at once.
 const MAX_DISCARD_BYTES: usize = MAX_MESSAGE_BYTES;
-/// Most arrival times recorded for bytes ahead of their turn; what comes later stays in the socket.
-const MAX_ARRIVALS: usize = 64;
+/// Most arrival times recorded for bytes ahead of their turn; beyond it they are recorded less finely.
+const MAX_ARRIVALS: usize = 256;
 /// Longest startup message, as in PostgreSQL.
 const MAX_STARTUP_BYTES: usize = 10_000;
 /// Timeout of an incomplete startup or message: far longer than slow clients need, and short enough that hundreds of
@@ -203,8 +203,7 @@
     /// do not read would fill the memory.
     fn read_limit(&self) -> usize {
         match &self.in_hand {
-            Some(in_hand) if self.arrivals.len() < MAX_ARRIVALS => in_hand.length + self.unreserved,
-            Some(in_hand) => in_hand.length,
+            Some(in_hand) => in_hand.length + self.unreserved,
             None => self.reserved.max(self.unreserved),
         }
     }
@@ -223,8 +222,7 @@
     /// Looks for the client's end behind unread data, reading up to `ahead` bytes beyond the pending command; false if
     /// it has gone. Prevents attempts for a client that left after sending ahead.
     pub fn check_for_end(&mut self, now: Micros, ahead: usize) -> bool {
-        let in_hand = self.in_hand.as_ref().filter(|_| self.arrivals.len() < MAX_ARRIVALS);
-        let most = in_hand.map(|in_hand| in_hand.length + ahead.min(MAX_READ_AHEAD_BYTES));
+        let most = self.in_hand.as_ref().map(|in_hand| in_hand.length + ahead.min(MAX_READ_AHEAD_BYTES));
         let deeper = most.filter(|most| *most > self.read_limit());
         deeper.is_none_or(|most| self.read_until(now, most)) && !(self.more && has_ended(&self.stream))
     }
@@ -327,11 +325,23 @@
         match self.arrivals.back_mut() {
             // Bounded: arrival times are recorded once per millisecond.
             Some((bytes, at)) if now < *at + 1_000 => *bytes += count,
-            _ if count > 0 => self.arrivals.push_back((count, now)),
+            _ if count > 0 => {
+                if self.arrivals.len() == MAX_ARRIVALS {
+                    self.merge_arrivals();
+                }
+                self.arrivals.push_back((count, now));
+            }
             _ => {}
         }
     }
 
+    /// Halves the number of arrival times. Bytes get the earlier of two, so that no command counts as younger than it is.
+    fn merge_arrivals(&mut self) {
+        let pairs = self.arrivals.make_contiguous().chunks(2);
+        let merged = pairs.map(|pair| (pair.iter().map(|(bytes, _)| bytes).sum(), pair[0].1));
+        self.arrivals = merged.collect();
+    }
+
     fn drop_front(&mut self, count: usize) {
         self.inbox.consume(count);
         let mut left = count;
@@ -421,8 +431,12 @@
         Next::Answered
     }
 
-    /// Ends a connection whose time is over: for an incomplete message with an error, else as [`Client::shut_down`].
+    /// Ends a connection whose time is over: for an incomplete message with an error, else as [`Client::shut_down`]. A
+    /// command in progress has a timeout of its own.
     pub fn time_out(&mut self) -> Next {
+        if self.in_hand.is_some() {
+            return Next::Answered;
+        }
         let whole = self.skipped.as_ref().is_some_and(|skipped| skipped.left == 0);
         if !whole && self.whole_query().is_none() {
             return self.refuse("08P01", "it did not come in whole in time");
@@ -431,14 +445,15 @@
         Next::Answered
     }
 
-    /// Length of the message at the front if it is a whole query.
+    /// Length of the message at the front if it is a whole query that was not begun.
     fn whole_query(&self) -> Option<usize> {
-        let first = frames::first(self.inbox.rest(), MAX_MESSAGE_BYTES);
-        first
-            .ok()
-            .flatten()
-            .filter(|(kind, _)| self.phase == Phase::Open && *kind == b'Q')
-            .map(|(_, length)| length)
+        if self.phase != Phase::Open || self.in_hand.is_some() {
+            return None;
+        }
+        match frames::first(self.inbox.rest(), MAX_MESSAGE_BYTES) {
+            Ok(Some((b'Q', length))) => Some(length),
+            _ => None,
+        }
     }
 
     /// Answers a skipped message once it was read whole; `None` if there is none.
