--- a/crates/cli/tests/discovering.rs
+++ b/crates/cli/tests/discovering.rs
@@ -4,7 +4,7 @@
 #[path = "rig/agent.rs"]
 mod agent;
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
@@ -24,10 +24,6 @@
 /// Pause between two bytes of a slow discovery: neither a silence, nor a complete list within a minute.
 const DRIPS: Spoils = Spoils::Drips(Duration::from_millis(250));
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.3:0").and_then(|l| l.local_addr()).expect("a free port")
-}
-
 /// Everything is invalid for a while, also on the open watch; then new requests are answered correctly. Earlier
 /// requests remain as they were: a slow answer stays slow.
 fn known_once_it_is_well(spoils: Spoils, lasts: Duration, bound: Duration) {
@@ -179,7 +175,7 @@
 #[test]
 fn a_discovery_that_refused_is_known_soon_after_its_return() {
     let rig = Rig::new();
-    let agent = Agent::start_at(free_address(), rig.entries("up"));
+    let agent = Agent::start_at(unused_address(), rig.entries("up"));
     let gateway = Gateway::start(PROGRAM, agent.address);
     agent.refuses(true);
     assert!(rig.reads_for(&gateway, 3_000 * MS) > 0);
@@ -257,7 +253,7 @@
         for (state, turns) in states {
             scope.spawn(move || {
                 let rig = Rig::new();
-                let agent = Agent::start_at(free_address(), rig.entries("up"));
+                let agent = Agent::start_at(unused_address(), rig.entries("up"));
                 let another = Agent::start(rig.entries("draining"));
                 let gateway = Gateway::start(PROGRAM, agent.address);
                 let queued = turns(&agent);
@@ -313,7 +309,7 @@
                 let rig = Rig::new();
                 let agent = rig.agent();
                 let gateway = Gateway::start(PROGRAM, agent.address);
-                gateway.reload(&free_address().to_string());
+                gateway.reload(&unused_address().to_string());
                 if !between.is_zero() {
                     assert!(rig.reads_for(&gateway, between) > 0);
                 }
@@ -385,14 +381,14 @@
             agent
         }),
         ("empty", |_| Agent::start(Vec::new())),
-        ("of others", |_| Agent::start(vec![entry("s9", free_address(), "up", true)])),
+        ("of others", |_| Agent::start(vec![entry("s9", unused_address(), "up", true)])),
         ("silent", |rig| {
             let agent = rig.agent();
             agent.says_nothing(true);
             agent
         }),
         ("refusing", |rig| {
-            let agent = Agent::start_at(free_address(), rig.entries("up"));
+            let agent = Agent::start_at(unused_address(), rig.entries("up"));
             agent.refuses(true);
             agent
         }),
--- a/crates/cli/tests/serving.rs
+++ b/crates/cli/tests/serving.rs
@@ -187,8 +187,7 @@
 /// A dispatch that was never sent must not count as possibly executed.
 #[test]
 fn a_write_goes_on_to_the_next_primary_when_the_known_one_is_not_there() {
-    // Not at the address that all others listen on: the gateway itself could get the free port.
-    let dead = std::net::TcpListener::bind("127.0.0.2:0").and_then(|l| l.local_addr()).expect("a free port");
+    let dead = unused_address();
     let replica = ScriptedServer::start(true, vec![value()]);
     let entries = [entry("s1", dead, "up", true), entry("s2", replica.address, "up", false)];
     let (discovery, _changes) = discovery(list(1, true, &entries));
--- a/crates/cli/tests/told.rs
+++ b/crates/cli/tests/told.rs
@@ -97,7 +97,7 @@
     let rig = Rig::new();
     let agent = rig.agent();
     let gateway = Gateway::start(PROGRAM, agent.address);
-    let free = std::net::TcpListener::bind("127.0.0.2:0").and_then(|l| l.local_addr()).expect("a free port");
+    let free = unused_address();
     let since = Instant::now();
     gateway.reload(&free.to_string());
     let entries = rig.entries("draining");
