--- a/review/kit-2/drain.rs
+++ b/review/kit-2/drain.rs
@@ -38,7 +38,8 @@
                 // The key of a command names its gateway.
                 let gateway = text.split("'g").nth(1).and_then(|rest| rest.split('-').next()?.parse().ok());
                 let now = record.now();
-                let since = gateway.and_then(|gateway: usize| lock(&told).get(&(gateway, own.clone())).copied());
+                let since =
+                    gateway.and_then(|gateway: usize| lock(&told).get(&(gateway, own.clone())).copied());
                 match since {
                     Some(at) if now > at + GRACE + SLACK => {
                         late.fetch_add(1, Ordering::SeqCst);
@@ -49,7 +50,9 @@
                             "BROKEN: {own} ran {id}, {after:.3} s after gateway n{which} was told that it drains"
                         ));
                     }
-                    Some(at) => record.note(&format!("{own} ran {id}, {:.3} s after the drain was told", now - at)),
+                    Some(at) => {
+                        record.note(&format!("{own} ran {id}, {:.3} s after the drain was told", now - at))
+                    }
                     None => record.note(&format!("{own} ran {id}")),
                 }
                 thread::sleep(millis(8));
@@ -95,7 +98,8 @@
                         let statement = statement.replacen(&format!("'{id}'"), &format!("'g{me}-{id}'"), 1);
                         case.record.note(&format!("n{me} is sent {id} for set {set}"));
                         asked.fetch_add(1, Ordering::SeqCst);
-                        let answer = if open.write(&query(&statement)) { open.answer(millis(4_000)) } else { None };
+                        let answer =
+                            if open.write(&query(&statement)) { open.answer(millis(4_000)) } else { None };
                         match answer {
                             Some(answer) => {
                                 case.record.note(&format!("n{me} answered {id}: {}", answer.told()));
@@ -136,7 +140,8 @@
     drop(gateways);
     let (asked, answered) = (asked.load(Ordering::SeqCst), answered.load(Ordering::SeqCst));
     let late = late.load(Ordering::SeqCst);
-    case.record.tell(&format!("{asked} commands, {answered} served, {late} sent to a draining server too late"));
+    case.record
+        .tell(&format!("{asked} commands, {answered} served, {late} sent to a draining server too late"));
     if !run {
         return Err("a gateway ended".into());
     }
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -1,14 +1,14 @@
 //! The cases 6 to 10 of the review: `rig CASE FOLDER`, started by the `run.sh` of each case from the root of the
 //! repository. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-mod world;
+mod cut;
 mod drain;
 mod network;
-mod stayers;
 mod refusal_copy;
 mod second_copy;
 mod settings;
-
+mod stayers;
+mod world;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -42,6 +42,7 @@
     std::thread::spawn(move || {
         let ran = match name.as_str() {
             "second-copy" => second_copy::run(&case),
+            "cut" => cut::run(&case),
             "drain" => drain::run(&case),
             "refusal-copy" => refusal_copy::run(&case),
             "stayers" => stayers::run(&case),
--- a/review/kit-2/refusal_copy.rs
+++ b/review/kit-2/refusal_copy.rs
@@ -27,7 +27,8 @@
     let mut hosts = Vec::new();
     for number in 0..4_u64 {
         let primary = number == 0;
-        let (record, copies, turned, ran) = (case.record.clone(), copies.clone(), turned.clone(), ran.clone());
+        let (record, copies, turned, ran) =
+            (case.record.clone(), copies.clone(), turned.clone(), ran.clone());
         let trouble = case.trouble;
         let (chance, held) = (Mutex::new(Chance::new(80 + number)), Arc::new(AtomicUsize::new(0)));
         let name = format!("s-{number}");
@@ -59,7 +60,8 @@
             let (record, copies, own) = (record.clone(), copies.clone(), own.clone());
             let told = move |wrote: bool| {
                 copies.fetch_add(usize::from(wrote), Ordering::SeqCst);
-                let what = if wrote { "wrote a second copy of" } else { "has the next command, no second copy of" };
+                let what =
+                    if wrote { "wrote a second copy of" } else { "has the next command, no second copy of" };
                 record.note(&format!("{own} {what} the answer to {id}"));
             };
             Reaction::WritesTwice(answer, Box::new(told))
@@ -77,7 +79,8 @@
     let answers: Arc<Mutex<BTreeMap<String, Answer>>> = Arc::default();
     thread::scope(|scope| {
         for client in 0..CLIENTS {
-            let (address, asked, served, answers) = (gateway.address, asked.clone(), served.clone(), answers.clone());
+            let (address, asked, served, answers) =
+                (gateway.address, asked.clone(), served.clone(), answers.clone());
             scope.spawn(move || {
                 let mut chance = Chance::new(2_000 + client as u64);
                 let began = Instant::now();
@@ -97,7 +100,10 @@
                     match if sent { open.answer(millis(4_000)) } else { None } {
                         Some(answer) => {
                             case.record.note(&format!("client {client} got for {id}: {}", answer.told()));
-                            served.fetch_add(usize::from(matches!(answer, Answer::Served(_))), Ordering::SeqCst);
+                            served.fetch_add(
+                                usize::from(matches!(answer, Answer::Served(_))),
+                                Ordering::SeqCst,
+                            );
                             lock(&answers).insert(id, answer);
                         }
                         None => link = None,
@@ -119,7 +125,9 @@
     }
     let (asked, served) = (asked.load(Ordering::SeqCst), served.load(Ordering::SeqCst));
     let (copies, turned) = (copies.load(Ordering::SeqCst), turned.load(Ordering::SeqCst));
-    case.record.tell(&format!("{asked} commands, {served} served, {turned} times turned away, {copies} second copies"));
+    case.record.tell(&format!(
+        "{asked} commands, {served} served, {turned} times turned away, {copies} second copies"
+    ));
     if !runs {
         return Err("the gateway ended".into());
     }
--- a/review/kit-2/second_copy.rs
+++ b/review/kit-2/second_copy.rs
@@ -42,7 +42,8 @@
             let (record, copies, own) = (record.clone(), copies.clone(), own.clone());
             let told = move |wrote: bool| {
                 copies.fetch_add(usize::from(wrote), Ordering::SeqCst);
-                let what = if wrote { "wrote a second copy of" } else { "has the next command, no second copy of" };
+                let what =
+                    if wrote { "wrote a second copy of" } else { "has the next command, no second copy of" };
                 record.note(&format!("{own} {what} the answer to {id}"));
             };
             Reaction::WritesTwice(answer, Box::new(told))
--- a/review/kit-2/stayers.rs
+++ b/review/kit-2/stayers.rs
@@ -38,7 +38,10 @@
         }
     }
     let _ = stream.read(&mut [0]);
-    case.record.note(&format!("bad client {number} was answered or closed after {:.3} s", began.elapsed().as_secs_f64()));
+    case.record.note(&format!(
+        "bad client {number} was answered or closed after {:.3} s",
+        began.elapsed().as_secs_f64()
+    ));
 }
 
 /// Connects, sends its command right behind the startup and waits for the answer.
@@ -140,7 +143,8 @@
     let runs = gateway.runs();
     drop(gateway);
     let (asked, in_time, slowest) = (asked.into_inner(), in_time.into_inner(), *lock(&slowest));
-    case.record.tell(&format!("{asked} commands, {in_time} answered in time, the slowest after {slowest:.3} s"));
+    case.record
+        .tell(&format!("{asked} commands, {in_time} answered in time, the slowest after {slowest:.3} s"));
     if !runs {
         return Err("the gateway ended".into());
     }
--- a/review/kit-2/world.rs
+++ b/review/kit-2/world.rs
@@ -318,6 +318,20 @@
         list.up = true;
         self.list.1.notify_all();
     }
+
+    /// Names another primary.
+    pub fn lead(&self, name: &str) {
+        let mut list = lock(&self.list.0);
+        list.seq += 1;
+        let seq = list.seq;
+        for host in &mut list.hosts {
+            let leads = host.name == name;
+            if host.primary != leads {
+                (host.primary, host.seq) = (leads, seq);
+            }
+        }
+        self.list.1.notify_all();
+    }
 }
 
 fn object(seq: u64, whole: bool, hosts: &[&Host]) -> String {
@@ -408,13 +422,7 @@
 
 impl Gateway {
     /// Starts a gateway; its files lie in `folder`. `settings` is the object of the simulator's first message.
-    pub fn start(
-        folder: &Path,
-        number: usize,
-        discovery: SocketAddr,
-        limits: &str,
-        settings: &str,
-    ) -> Self {
+    pub fn start(folder: &Path, number: usize, discovery: SocketAddr, limits: &str, settings: &str) -> Self {
         let address = free_address();
         let config = folder.join(format!("n{number}.json"));
         let text = format!(
