--- a/review/kit-2/refusal_copy.rs
+++ b/review/kit-2/refusal_copy.rs
@@ -11,7 +11,7 @@
 use crate::settings::weavers;
 use crate::world::*;
 
-const LASTS: Duration = Duration::from_secs(60);
+const LASTS: Duration = Duration::from_secs(100);
 const CLIENTS: usize = 12;
 /// Commands that the primary runs or queues; what comes beyond is turned away.
 const QUEUE: usize = 5;
