A server connection is used again only once it has proved done with its last answer

Cause: ReadyForQuery made a connection idle at once. It does not prove that nothing more of the answer follows, and an answer is recognised by its form alone, so a copy that came after the next command was written was read as its answer. Evidence: a copy in the same write, or no copies, shows nothing; a copy a fraction of a millisecond late does. Change: an empty query is sent behind each answer; its own answer proves that all bytes before it belong to the earlier statement, since a connection keeps the order. Commands wait for a connection that synchronizes rather than open another. The stand-ins answer empty queries, as the protocol says. Fixed the same way: probes, and connections taken back from a cancelled command.

--- a/crates/cli/tests/ending.rs
+++ b/crates/cli/tests/ending.rs
@@ -13,7 +13,7 @@
 
 use agent::Agent;
 use tansyjunction_standin::scripted::*;
-use tansyjunction_standin::{Client, Reply, START, message, row};
+use tansyjunction_standin::{Client, Reply, START, message, read_statement, row};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_tansyjunction");
 const MS: Duration = Duration::from_millis(1);
@@ -73,11 +73,7 @@
                 let ready = message(b'Z', b"I");
                 stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
                 loop {
-                    let mut head = [0; 5];
-                    stream.read_exact(&mut head).ok()?;
-                    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
-                    let mut body = vec![0; length as usize - 4];
-                    stream.read_exact(&mut body).ok()?;
+                    let (_, body) = read_statement(&mut stream).ok()?;
                     if body == b"SHOW health\0" {
                         stream.write_all(&[row(b"x0=0"), ready.clone()].concat()).ok()?;
                         continue;
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -182,11 +182,18 @@
         if line.job.is_none() || line.written.is_some() {
             return;
         }
-        if line.protocol.phase == Phase::Ready {
-            self.finish_job(key, DispatchEnd::Unsent);
-            self.set_idle(key);
-        } else {
-            self.end_connection(key, DispatchEnd::Unsent);
+        match line.protocol.phase {
+            Phase::Ready => {
+                self.finish_job(key, DispatchEnd::Unsent);
+                self.set_idle(key);
+            }
+            Phase::Synchronizing => {
+                self.finish_job(key, DispatchEnd::Unsent);
+                self.servers.set_synchronizing(key);
+            }
+            Phase::Connecting | Phase::Starting | Phase::Busy => {
+                self.end_connection(key, DispatchEnd::Unsent);
+            }
         }
     }
 
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -14,7 +14,8 @@
 const IDLE_TIME_SHARE: f64 = 0.8;
 
 impl Gateway {
-    /// Assigns a job to an idle or new connection and returns it. `Err`: how the job ended if there is none.
+    /// Assigns a job to a connection and returns it: to an idle one, to one that synchronizes, which takes less time than
+    /// opening another, or to a new one. `Err`: how the job ended if there is none.
     pub(super) fn start_job(
         &mut self,
         server: usize,
@@ -22,16 +23,39 @@
         now: Micros,
         due: Micros,
     ) -> Result<u64, DispatchEnd> {
+        if let Some(key) = self.start_on_idle(server, job, due) {
+            return Ok(key);
+        }
+        if let Some(key) = self.servers.take_synchronizing(server) {
+            self.begin_before_ready(key, job, now, due);
+            return Ok(key);
+        }
+        self.start_on_new(server, job, now, due)
+    }
+
+    /// Writes a job to an idle connection, if there is one.
+    fn start_on_idle(&mut self, server: usize, job: Job, due: Micros) -> Option<u64> {
         // Probes use the least recently used connections, which keeps them open.
         while let Some(key) = self.servers.take_idle(server, job != Job::Probe) {
             if self.servers.get(key).is_some_and(ServerConnection::is_quiet) {
                 self.servers.begin(key, job, due);
                 self.connection_timeout(key, due);
                 self.write_job(key);
-                return Ok(key);
+                return Some(key);
             }
             self.close_connection(key);
         }
+        None
+    }
+
+    /// Opens a connection for a job.
+    fn start_on_new(
+        &mut self,
+        server: usize,
+        job: Job,
+        now: Micros,
+        due: Micros,
+    ) -> Result<u64, DispatchEnd> {
         let Some(address) = self.servers.address(server) else { return Err(DispatchEnd::Unsent) };
         if !self.has_free_descriptor(false) {
             warn!(target: "limits", "no file descriptor left for a connection to {}", self.servers_named.name(server));
@@ -55,9 +79,14 @@
         self.step_opened(server, &job);
         let unreserved = self.buffer_limits().unreserved();
         self.servers.add(key, ServerConnection::new(server, stream, token, now, unreserved));
+        self.begin_before_ready(key, job, now, due);
+        Ok(key)
+    }
+
+    /// Assigns a job to a connection that is being opened or synchronized; its statement is written afterwards.
+    fn begin_before_ready(&mut self, key: u64, job: Job, now: Micros, due: Micros) {
         self.servers.begin(key, job, due);
         self.connection_timeout(key, due.min(now + self.deployment.connect_within));
-        Ok(key)
     }
 
     pub(super) fn connection_timeout(&mut self, key: u64, due: Micros) {
@@ -108,11 +137,7 @@
         loop {
             let Some(connection) = self.servers.get(key) else { return };
             match connection.protocol.next_event(now) {
-                Event::Ready => {
-                    let due = connection.job_due;
-                    self.connection_timeout(key, due);
-                    self.write_job(key);
-                }
+                Event::Ready => self.on_connection_ready(key),
                 Event::Answer(parts) => {
                     if let Some(Job::Command { command, .. }) = connection.job {
                         self.commands.on_answer(&mut self.router, now, command);
@@ -127,7 +152,7 @@
                     if ended {
                         self.close_connection(key);
                     } else {
-                        self.set_idle(key);
+                        self.synchronize(key);
                     }
                 }
                 Event::NeedsMemory(bytes) => {
@@ -149,6 +174,39 @@
         }
     }
 
+    /// Uses a connection whose startup or synchronization is complete for the job that waits for it, if any.
+    fn on_connection_ready(&mut self, key: u64) {
+        let Some(connection) = self.servers.get(key) else { return };
+        if !connection.protocol.inbox.rest().is_empty() {
+            // What follows the last answer would be read as that of the next statement.
+            self.end_connection(key, DispatchEnd::Unconnected);
+            return;
+        }
+        if connection.job.is_none() {
+            self.set_idle(key);
+            return;
+        }
+        let due = connection.job_due;
+        self.connection_timeout(key, due);
+        self.write_job(key);
+    }
+
+    /// Sends an empty query behind an answer. ReadyForQuery does not prove that nothing more of the answer follows, such
+    /// as a second copy; the answer to the next query does, since a connection keeps the order.
+    fn synchronize(&mut self, key: u64) {
+        let now = self.clock.now();
+        let Some(connection) = self.servers.get(key) else { return };
+        connection.idle_since = now;
+        connection.protocol.synchronize();
+        let written = connection.outbox.write(&connection.stream, &[frames::SYNC_QUERY]);
+        if written.is_err() || !connection.outbox.is_empty() {
+            self.close_connection(key);
+            return;
+        }
+        self.servers.set_synchronizing(key);
+        self.connection_timeout(key, now + self.deployment.connect_within);
+    }
+
     /// Closes a connection after invalid data, which is no evidence against its server. The job's result is discarded
     /// with it; an earlier complete answer stays. Invalid answers must not take out one server after the other.
     pub(super) fn close_invalid(&mut self, key: u64) {
@@ -306,20 +364,22 @@
         }
     }
 
-    /// Opens a connection once more that broke before its statement was written. A server may reset some new
-    /// connections; one that is gone refuses them.
+    /// Uses another connection once for a job whose own broke before its statement was written. A server may reset some
+    /// new connections; one that is gone refuses them.
     pub(super) fn reopen(&mut self, key: u64, ending: DispatchEnd) -> bool {
         let Some(connection) = self.servers.get(key) else { return false };
         let broke = matches!(ending, DispatchEnd::Unconnected | DispatchEnd::Reset)
             && connection.protocol.server_answer.ending.is_none();
-        let new = matches!(connection.protocol.phase, Phase::Connecting | Phase::Starting | Phase::Ready);
+        let new = connection.protocol.phase != Phase::Busy;
         if !broke || !new || connection.reopened {
             return false;
         }
         let (server, due) = (connection.server, connection.job_due);
         let Some(job) = self.servers.finish(key) else { return false };
         self.close_connection(key);
-        match self.start_job(server, job, self.clock.now(), due) {
+        let now = self.clock.now();
+        let idle = self.start_on_idle(server, job, due);
+        match idle.map_or_else(|| self.start_on_new(server, job, now, due), Ok) {
             Ok(key) => {
                 if let Some(connection) = self.servers.get(key) {
                     connection.reopened = true;
--- a/crates/gateway/src/memory/servers.rs
+++ b/crates/gateway/src/memory/servers.rs
@@ -14,6 +14,8 @@
     started: Option<Micros>,
     /// Idle connections, the most recently used last.
     idle: Vec<u64>,
+    /// Connections that synchronize behind an answer and have no job yet, the earliest first.
+    synchronizing: Vec<u64>,
     /// Number of connections.
     connection_count: usize,
     /// Since when it is gone.
@@ -22,6 +24,13 @@
     shard: Option<usize>,
 }
 
+impl Server {
+    /// Connections without a job.
+    fn unused(&self) -> Vec<u64> {
+        [&self.idle[..], &self.synchronizing[..]].concat()
+    }
+}
+
 /// Time for which a server that is gone is remembered: far longer than late lists may still name it.
 const FORGET_AFTER: Micros = 30_000_000;
 
@@ -37,8 +46,8 @@
 }
 
 impl Servers {
-    /// Updates address and start time of a server. Returns the connections that are now useless: idle ones, and those
-    /// that have not received anything yet.
+    /// Updates address and start time of a server. Returns the connections that are now useless: those without a
+    /// job, and those that have not received anything yet.
     pub fn update(
         &mut self,
         server: usize,
@@ -56,17 +65,17 @@
         if !(moved || restarted) {
             return Vec::new();
         }
-        let mut worthless = known.idle.clone();
+        let mut worthless = known.unused();
         worthless.extend(self.unwritten(|connection| connection.server == server));
         worthless
     }
 
-    /// Marks a server as gone; returns its idle connections, which are now useless.
+    /// Marks a server as gone; returns its connections without a job, which are now useless.
     pub fn mark_gone(&mut self, server: usize, now: Micros) -> Vec<u64> {
         let Some(known) = self.servers.get_mut(&server) else { return Vec::new() };
         let since = *known.gone_since.get_or_insert(now);
         self.gone.insert((since, server));
-        known.idle.clone()
+        known.unused()
     }
 
     /// Servers that are not gone.
@@ -131,6 +140,7 @@
         connection.job_due = due;
         connection.protocol.server_answer = Default::default();
         connection.written = None;
+        connection.reopened = false;
         if let Job::Command { command, dispatch } = job {
             self.by_dispatch.insert((command, dispatch), key);
         }
@@ -175,7 +185,21 @@
     /// Makes a connection idle.
     pub fn set_idle(&mut self, key: u64) {
         let Some(connection) = self.connections.get(&key) else { return };
-        self.servers.entry(connection.server).or_default().idle.push(key);
+        let server = self.servers.entry(connection.server).or_default();
+        server.synchronizing.retain(|other| *other != key);
+        server.idle.push(key);
+    }
+
+    /// Records that a connection without a job synchronizes.
+    pub fn set_synchronizing(&mut self, key: u64) {
+        let Some(connection) = self.connections.get(&key) else { return };
+        self.servers.entry(connection.server).or_default().synchronizing.push(key);
+    }
+
+    /// Takes the connection to a server that will be synchronized first.
+    pub fn take_synchronizing(&mut self, server: usize) -> Option<u64> {
+        let waiting = &mut self.servers.get_mut(&server)?.synchronizing;
+        (!waiting.is_empty()).then(|| waiting.remove(0))
     }
 
     /// Takes an idle connection to a server: the most recently used one, or the least.
@@ -190,10 +214,11 @@
         }
     }
 
-    /// The least recently used idle connection of any server.
+    /// The least recently used connection without a job of any server; of those of one server, an idle one.
     pub fn least_recently_used(&self) -> Option<u64> {
-        let oldest = self.servers.values().filter_map(|server| server.idle.first());
-        oldest.copied().min_by_key(|key| self.connections.get(key).map(|connection| connection.idle_since))
+        let unused = |server: &'_ Server| server.idle.first().or(server.synchronizing.first()).copied();
+        let oldest = self.servers.values().filter_map(unused);
+        oldest.min_by_key(|key| self.connections.get(key).map(|connection| connection.idle_since))
     }
 
     /// Removes a connection.
@@ -202,6 +227,7 @@
         let connection = self.connections.remove(&key)?;
         if let Some(server) = self.servers.get_mut(&connection.server) {
             server.idle.retain(|idle| *idle != key);
+            server.synchronizing.retain(|other| *other != key);
             server.connection_count -= 1;
         }
         Some(connection)
--- a/crates/gateway/src/wire/frames.rs
+++ b/crates/gateway/src/wire/frames.rs
@@ -16,6 +16,8 @@
 pub const PROBE: &[u8] = b"Q\0\0\0\x0dSELECT 1\0";
 /// Probe statement that returns a load report.
 pub const REPORT_PROBE: &[u8] = b"Q\0\0\0\x10SHOW health\0";
+/// Empty query to a server: answered at once, with a message that answers nothing else, and without effect.
+pub const SYNC_QUERY: &[u8] = b"Q\0\0\0\x05\0";
 /// Startup message to a server: user svc, database main.
 pub const START: &[u8] = b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0";
 
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -25,6 +25,8 @@
     Connecting,
     /// The startup message was sent.
     Starting,
+    /// An empty query was sent behind an answer. All bytes before its own answer belong to the earlier statement.
+    Synchronizing,
     /// Ready for a statement.
     Ready,
     /// A statement is in progress.
@@ -57,11 +59,11 @@
     Nothing,
     /// The same, and memory for this many bytes must be reserved before more of it is read.
     NeedsMemory(usize),
-    /// The startup is complete.
+    /// The startup or the synchronization is complete.
     Ready,
     /// The answer is complete, at these ranges of the inbox.
     Answer(Vec<Range<usize>>),
-    /// Ready for the next statement.
+    /// The server has finished the statement. More bytes of its answer may follow.
     Done,
     /// Invalid data.
     Invalid,
@@ -78,6 +80,8 @@
     /// Ranges of the answer's messages so far, and how far the inbox was scanned.
     answer: Vec<Range<usize>>,
     scanned: usize,
+    /// The last significant message was the answer to the empty query.
+    sync_answered: bool,
 }
 
 impl ProtocolState {
@@ -91,9 +95,16 @@
             server_answer: ServerAnswer::default(),
             answer: Vec::new(),
             scanned: 0,
+            sync_answered: false,
         }
     }
 
+    /// Starts to wait for the answer to the empty query.
+    pub fn synchronize(&mut self) {
+        self.phase = Phase::Synchronizing;
+        self.sync_answered = false;
+    }
+
     /// Most bytes that the inbox may hold; the rest stays in the socket.
     fn read_limit(&self) -> usize {
         self.reserved + self.unreserved
@@ -130,6 +141,16 @@
             self.scanned = here.end;
             let body = &self.inbox.rest()[here.start + frames::HEADER_BYTES..here.end];
             match (self.phase, kind) {
+                (Phase::Synchronizing, b'Z') if self.sync_answered => {
+                    (self.phase, self.sync_answered) = (Phase::Ready, false);
+                    self.drop_scanned();
+                    return Event::Ready;
+                }
+                (Phase::Synchronizing, _) => {
+                    if !self.skip_leftover(kind) {
+                        return Event::Invalid;
+                    }
+                }
                 (_, b'N') | (Phase::Starting, b'K') => {}
                 (_, b'S') => self.server_answer.parameter(body),
                 (Phase::Starting, b'R') if body == [0; 4] => {}
@@ -144,6 +165,9 @@
                     self.server_answer.ending = ending.filter(|ending| *ending == DispatchEnd::SentBack);
                     return Event::Invalid;
                 }
+                // A repeated answer to the empty query; it cannot be taken for the statement's.
+                (Phase::Busy, b'I') if self.is_unanswered() => self.sync_answered = true,
+                (Phase::Busy, b'Z') if self.sync_answered => self.sync_answered = false,
                 (Phase::Busy, b'E') if self.server_answer.ending.is_none() => {
                     let Some(code) = frames::error_code(body) else { return Event::Invalid };
                     self.server_answer.ending = Some(end_by_code(code));
@@ -177,6 +201,23 @@
         }
     }
 
+    /// Drops a message that precedes the end of the synchronization; false if it is invalid.
+    fn skip_leftover(&mut self, kind: u8) -> bool {
+        self.drop_scanned();
+        match kind {
+            b'I' => self.sync_answered = true,
+            b'S' | b'N' => {}
+            b'T' | b'D' | b'C' | b'E' | b'Z' => self.sync_answered = false,
+            _ => return false,
+        }
+        true
+    }
+
+    /// Whether no part of the statement's answer has arrived.
+    fn is_unanswered(&self) -> bool {
+        self.answer.is_empty() && self.server_answer.ending.is_none()
+    }
+
     fn drop_scanned(&mut self) {
         self.inbox.consume(self.scanned);
         self.reserved = 0;
@@ -358,6 +399,49 @@
         }
     }
 
+    /// Guards against a part of one answer that is read as that of the next statement (incident 21), and against a
+    /// statement that fails because of a repeated answer to the empty query before it.
+    #[test]
+    fn what_precedes_the_end_of_a_synchronization_belongs_to_no_later_statement() {
+        let answer = |value: &[u8]| {
+            let column = [&b"\0\x01\0\0\0\x02"[..], value].concat();
+            [message(b'T', COLUMN), message(b'D', &column), message(b'C', b"SELECT 1\0")].concat()
+        };
+        let (ready, synchronized) = (message(b'Z', b"I"), [message(b'I', b""), message(b'Z', b"I")].concat());
+        let copy = [answer(b"hi"), message(b'S', b"lsn_ms\07\0"), ready.clone()].concat();
+        let refusal = [message(b'E', b"C53300\0\0"), ready.clone()].concat();
+        for (what, leftover, event) in [
+            ("nothing", vec![], Event::Ready),
+            ("a copy", copy.clone(), Event::Ready),
+            ("two copies", [copy.clone(), copy.clone()].concat(), Event::Ready),
+            ("the copy of a refusal", refusal, Event::Ready),
+            ("an end alone", ready.clone(), Event::Ready),
+            ("half a copy", copy[..copy.len() - 9].to_vec(), Event::Invalid),
+            ("noise", b"G\0\0\0\x05x".to_vec(), Event::Invalid),
+        ] {
+            let mut talk = ProtocolState { phase: Phase::Busy, ..ProtocolState::new(MAX_ANSWER_BYTES) };
+            talk.synchronize();
+            let next = |byte: u8| {
+                talk.inbox.append(&[byte]);
+                talk.next_event(0)
+            };
+            let bytes = [leftover, synchronized.clone()].concat();
+            let heard = bytes.into_iter().map(next).find(|heard| *heard != Event::Nothing);
+            let heard = heard.expect("an event");
+            assert_eq!(heard, event, "{what}");
+            assert!(talk.server_answer.stated.position.is_none(), "{what}");
+            if heard != Event::Ready {
+                continue;
+            }
+            talk.phase = Phase::Busy;
+            talk.inbox.append(&[synchronized.clone(), answer(b"ho"), ready.clone()].concat());
+            let Event::Answer(parts) = talk.next_event(0) else { panic!("{what}: no answer") };
+            let value = parts.get(1).map(|part| &talk.inbox.rest()[part.end - 2..part.end]);
+            assert_eq!(value, Some(&b"ho"[..]), "{what}");
+            assert_eq!(talk.next_event(0), Event::Done, "{what}");
+        }
+    }
+
     #[test]
     fn senseless_figures_are_not_believed() {
         for (text, position, queue) in [
--- a/crates/standin/src/frames.rs
+++ b/crates/standin/src/frames.rs
@@ -1,10 +1,15 @@
 //! PostgreSQL messages as needed by the stand-ins.
 
-use std::io::{Read, Result};
+use std::io::{Read, Result, Write};
 
 /// Startup message of a client.
 pub const START: &[u8] = b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0";
 
+/// Body of an empty query.
+const EMPTY_STATEMENT: &[u8] = b"\0";
+/// An empty query.
+pub const EMPTY_QUERY: &[u8] = b"Q\0\0\0\x05\0";
+
 /// Encodes a message.
 pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let mut out = vec![kind];
@@ -40,6 +45,22 @@
     Ok((head[0], body))
 }
 
+/// The same on a server: the next message of a client that is no empty query. Those are answered at once.
+pub fn read_statement(stream: &mut (impl Read + Write)) -> Result<(u8, Vec<u8>)> {
+    loop {
+        let (kind, body) = read(stream, true)?;
+        if (kind, &body[..]) != (b'Q', EMPTY_STATEMENT) {
+            return Ok((kind, body));
+        }
+        stream.write_all(&empty_answer())?;
+    }
+}
+
+/// Encodes the answer to an empty query.
+pub fn empty_answer() -> Vec<u8> {
+    [message(b'I', b""), message(b'Z', b"I")].concat()
+}
+
 /// The value of a name in a statement's comment.
 pub fn named<'a>(statement: &'a str, name: &str) -> Option<&'a str> {
     let comment = statement.rsplit_once("/*")?.1.split("*/").next()?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use client::{Client, Reply};
 pub use discovery::Discovery;
-pub use frames::{START, message, row};
+pub use frames::{EMPTY_QUERY, START, empty_answer, message, read_statement, row};
 pub use load::{AnswerCounts, Asked, Load, check_ledger, payment};
 pub use script::Script;
 pub use store::{Death, LedgerRow, Store, StoreConfig};
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -93,7 +93,7 @@
         let ready = message(b'Z', b"I");
         stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
         loop {
-            let (_, body) = frames::read(&mut stream, true).ok()?;
+            let (_, body) = frames::read_statement(&mut stream).ok()?;
             let status = if primary { &b"recovery\0off\0"[..] } else { b"recovery\0on\0" };
             if body == b"SHOW health\0" {
                 probes.fetch_add(1, Ordering::SeqCst);
@@ -232,8 +232,12 @@
             thread::sleep(Duration::from_millis(1));
         }
         stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
-        while stream.peek(&mut [0])? > 0 && meets(&mut Arriving { stream, notes })? {}
-        Ok(())
+        loop {
+            answer_empty_queries(stream)?;
+            if stream.peek(&mut [0])? == 0 || !meets(&mut Arriving { stream, notes })? {
+                return Ok(());
+            }
+        }
     }
 
     /// Lets this many connections through, the first ones first.
@@ -257,6 +261,23 @@
     }
 }
 
+/// Answers the empty queries at the front of what a connection receives; leaves any other message unread.
+fn answer_empty_queries(stream: &mut TcpStream) -> std::io::Result<()> {
+    let mut front = [0; frames::EMPTY_QUERY.len()];
+    loop {
+        let came = stream.peek(&mut front)?;
+        if came == 0 || front[..came] != frames::EMPTY_QUERY[..came] {
+            return Ok(());
+        }
+        if came == front.len() {
+            stream.read_exact(&mut front)?;
+            stream.write_all(&frames::empty_answer())?;
+        } else {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 /// A connection with small buffers, so that most of what is sent to it waits at the sender.
 pub fn narrow_stream(address: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -349,6 +370,7 @@
         stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
         locked().welcomed += 1;
         loop {
+            answer_empty_queries(&mut stream).ok()?;
             let mut first = [0; 5];
             stream.read_exact(&mut first).ok()?;
             let place = {
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::frames::{error, message, named, read, row, status};
+use crate::frames::{error, message, named, read, read_statement, row, status};
 use crate::store::{Liveness, Shared, WriteResult, unix_millis};
 use crate::switches::SwitchResult;
 
@@ -56,7 +56,7 @@
     }
     stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat()).ok()?;
     loop {
-        let (_, body) = read(&mut stream, true).ok()?;
+        let (_, body) = read_statement(&mut stream).ok()?;
         if alive()? == Liveness::Hung {
             return silent(shared, server, life);
         }
