A write that may have run does not run again under its id

What callers saw: a write whose client had left ran a second time when its id came again on another connection. Cause: an id was known only while its command was in hand, and forgotten as its client left or had its answer, though the write may run, may still run or has run. Evidence: while the first client stays, the second one gets an error, so ids are compared well; what is compared with was missing. Change: the id of a command with an effect is remembered from the moment its statement is written whole, and forgotten if its client is told that another try does no harm.

--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -109,6 +109,69 @@
     }
 }
 
+/// Guards against a write that runs twice since its id comes again: while it runs for a client that left, after that,
+/// and after its answer (incident 23). Reads and writes that were turned away may come again.
+#[test]
+fn a_write_that_may_have_run_does_not_run_again_under_its_id() {
+    let (primary, replica, gateway) = rig(Progress::Reads, 64);
+    let sent = |id: &str| ids([&primary, &replica]).iter().filter(|other| *other == id).count();
+    let refused = Reply::Error("42601".into(), None);
+    let keyed = write(3).replace("c=once", "c=keyed").replace("cluster=2", "k=7,cluster=2");
+    let writes = [(1, write(1), false), (2, write(2), true), (3, keyed, false)];
+    for (id, statement, reset) in &writes {
+        let mut leaving = gateway.client();
+        leaving.send(statement);
+        wait_until("the write at its server", || sent(&id.to_string()) == 1);
+        if *reset {
+            resets(&leaving.stream);
+        }
+        drop(leaving);
+        assert_eq!(gateway.client().ask(statement), refused, "write {id} while it runs");
+    }
+    primary.lets(Progress::Answers);
+    replica.lets(Progress::Answers);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&write(4)), Reply::Value(b"held".to_vec()));
+    for (id, statement, _) in &writes {
+        assert_eq!(client.ask(statement), refused, "write {id} after it has run");
+        assert_eq!(sent(&id.to_string()), 1);
+    }
+    assert_eq!(client.ask(&write(4)), refused, "a write that was answered");
+    for _ in 0..2 {
+        assert_eq!(client.ask(&read(5)), Reply::Value(b"held".to_vec()));
+    }
+    primary.lets(Progress::Throttles);
+    assert!(client.ask(&write(6)).throttled());
+    primary.lets(Progress::Answers);
+    wait_until("a write that was turned away", || client.ask(&write(6)) == Reply::Value(b"held".to_vec()));
+}
+
+/// The same at any moment: its client leaves before, while or after the write runs, and another connection brings the id.
+#[test]
+fn no_write_runs_twice_whenever_its_client_leaves() {
+    const WRITES: u32 = 200;
+    let late = Reaction::AnswersLate(b"late".to_vec(), 5 * MS);
+    let server = ScriptedServer::start(true, vec![late]);
+    let (discovery, _changes) = discovery(list(1, true, &[entry("s1", server.address, "up", true)]));
+    let gateway = Gateway::start(PROGRAM, discovery);
+    let (mut client, mut rng) = (gateway.client(), fastrand::Rng::with_seed(56));
+    for id in 1..=WRITES {
+        let mut leaving = gateway.client();
+        leaving.send(&write(id));
+        sleep(Duration::from_micros(rng.u64(0..10_000)));
+        drop(leaving);
+        let reply = client.ask(&write(id));
+        let served = reply == Reply::Value(b"late".to_vec());
+        assert!(served || reply == Reply::Error("42601".into(), None), "write {id}: {reply:?}");
+    }
+    // The answer to a later write shows that all earlier ones have arrived.
+    assert_eq!(client.ask(&write(WRITES + 1)), Reply::Value(b"late".to_vec()));
+    let asked = server.asked();
+    let runs = |id: &u32| asked.iter().filter(|asked| asked.contains(&format!("id={id},"))).count();
+    let twice: Vec<u32> = (1..=WRITES).filter(|id| runs(id) > 1).collect();
+    assert!(twice.is_empty(), "{} of {WRITES} writes ran more than once", twice.len());
+}
+
 /// No statement may be written for a client that left while the process was paused: the server's answer to the
 /// startup came first, and the client's end is read after it. One client or a burst, with and without data sent
 /// ahead; a client that stays is served.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use self::holds::WriteHolding;
 use self::scout::SharedProbing;
 use crate::memory::clients::Clients;
+use crate::memory::executed_ids::ExecutedIds;
 use crate::memory::servers::Servers;
 use crate::memory::sessions::Sessions;
 use crate::memory::turns::RoundRobin;
@@ -63,6 +64,7 @@
     servers_named: NameNumbers,
     groups: NameNumbers,
     sessions: Sessions,
+    executed_ids: ExecutedIds,
     clients: Clients,
     servers: Servers,
     watch: Watch,
@@ -116,6 +118,7 @@
             servers_named: NameNumbers::default(),
             groups: NameNumbers::default(),
             sessions: Sessions::default(),
+            executed_ids: ExecutedIds::new(deployment.memory),
             clients: Clients::default(),
             servers: Servers::default(),
             watch: Watch::new(DiscoveryTimeouts::new(deployment.drain_grace)),
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -267,6 +267,9 @@
             if self.clients.has_command_id(head.id) {
                 return Err("'id' is that of a command in hand".into());
             }
+            if group.writes && self.executed_ids.contains(NameHash::of(head.id)) {
+                return Err("'id' is that of a command that may have run".into());
+            }
             Ok((place, head))
         });
         let (command_group, head) = match read {
--- a/crates/gateway/src/gateway/commands.rs
+++ b/crates/gateway/src/gateway/commands.rs
@@ -62,6 +62,10 @@
     pub(super) fn answer_finally(&mut self, command: u64, last: FinalAnswer) {
         self.step_given_up(command, last);
         let Some(client) = self.clients.waiting_for(command) else { return };
+        if let (FinalAnswer::Throttled { .. }, Some(in_hand)) = (last, &client.in_hand) {
+            // The answer says that the client may try again.
+            self.executed_ids.remove(in_hand.id);
+        }
         let written = client.answer(&[&final_error(last), frames::READY]);
         self.on_answered(command, written);
     }
--- a/crates/gateway/src/gateway/servers.rs
+++ b/crates/gateway/src/gateway/servers.rs
@@ -257,6 +257,19 @@
         connection.written = Some(now);
         if let Some(Job::Command { command, dispatch }) = connection.job {
             self.commands.on_written(command, dispatch, now);
+            self.remember_id(command);
+        }
+    }
+
+    /// Remembers the id of a command with an effect, which may run from now on.
+    fn remember_id(&mut self, command: u64) {
+        let Some(pending) = self.commands.get(command) else { return };
+        if !self.deployment.command_groups[pending.command.command_group].writes {
+            return;
+        }
+        let in_hand = self.clients.waiting_for(command).and_then(|client| client.in_hand.as_ref());
+        if let Some(in_hand) = in_hand {
+            self.executed_ids.insert(in_hand.id);
         }
     }
 
