The listen queue has room for as many connections as there are descriptors

What callers saw: of hundreds of clients that connect at once most got no connection for a second. Cause: the queue held 128 connections; the system drops what finds no room, and a client's system tries again after a second. Evidence: the late ones were late by a second, beside 521 overflows of listen queues; 129 of 600 connections to a paused gateway came up. Change: the queue has room for limits.sockets connections, and is emptied before the listener closes, for which 64 were enough before. Measured: the new test failed before (129 of 600) and passes; a_full_listen_queue_is_served_before_the_listener_is_closed failed with the longer queue alone (192 of 400) and passes.

--- a/crates/cli/tests/ending.rs
+++ b/crates/cli/tests/ending.rs
@@ -341,6 +341,28 @@
     assert!(gateway.ended());
 }
 
+/// Guards against clients that get no connection for a second, since hundreds come at once and the listen queue is full
+/// (incident 24).
+#[test]
+fn hundreds_that_connect_at_once_find_room_in_the_listen_queue() {
+    const CLIENTS: usize = 600;
+    /// A connection that finds no room is tried again by the system after a second.
+    const BEFORE_THE_NEXT_TRY: Duration = Duration::from_millis(900);
+    let rig = Rig::new(vec![value()]);
+    let agent = rig.agent();
+    let gateway = Gateway::with_sockets(PROGRAM, agent.address, 1_024);
+    gateway.pause();
+    let connect = |_| TcpStream::connect_timeout(&gateway.address, BEFORE_THE_NEXT_TRY);
+    let waiting: Vec<TcpStream> = (0..CLIENTS).map_while(|place| connect(place).ok()).collect();
+    gateway.signal("CONT");
+    assert_eq!(waiting.len(), CLIENTS);
+    for mut stream in waiting {
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a bound");
+        stream.write_all(START).expect("written");
+        assert_eq!(Client { stream }.reply(), Reply::Ready);
+    }
+}
+
 // --- Time-outs ---
 
 /// A pause of the process must not count as silence: data that arrived meanwhile is read before anything times out.
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Accepts all connections in the listen queue for which there are descriptors.
+    pub(super) fn accept_all(&mut self) {
+        self.accept();
+        while self.accept_more {
+            self.accept();
+        }
+    }
+
     /// The system grants fewer descriptors than configured: lowers the limit so that some stay free, else clients
     /// would leave none to discovery and servers. False if it is lowered already.
     pub(super) fn lower_descriptor_limit(&mut self) -> bool {
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -123,7 +123,7 @@
                 }
             }
             Due::Listener => {
-                self.accept();
+                self.accept_all();
                 self.listener = None;
                 let stops = self.stop_deadline.unwrap_or(at);
                 for key in self.clients.keys() {
--- a/crates/gateway/src/run/listener.rs
+++ b/crates/gateway/src/run/listener.rs
@@ -6,6 +6,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::gateway::Gateway;
 
@@ -17,10 +18,13 @@
 }
 
 impl Listener {
-    /// Binds and registers the socket.
-    pub fn open(address: SocketAddr, handle: LoopHandle<'static, Gateway>) -> std::io::Result<Self> {
-        let listener = Rc::new(TcpListener::bind(address)?);
-        listener.set_nonblocking(true)?;
+    /// Binds and registers the socket, with a queue of up to `backlog` connections.
+    pub fn open(
+        address: SocketAddr,
+        backlog: usize,
+        handle: LoopHandle<'static, Gateway>,
+    ) -> std::io::Result<Self> {
+        let listener = Rc::new(listen(address, backlog)?);
         // Edge-triggered: a queue that cannot be emptied for lack of descriptors must not cause a busy loop.
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
         let accept = |_, _: &mut _, gateway: &mut Gateway| {
@@ -50,6 +54,16 @@
     }
 }
 
+/// Listens without blocking. A connection that finds the queue full is tried again by its client after a second.
+fn listen(address: SocketAddr, backlog: usize) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
+    Ok(socket.into())
+}
+
 impl Drop for Listener {
     fn drop(&mut self) {
         self.handle.remove(self.token);
--- a/crates/gateway/src/run/serve.rs
+++ b/crates/gateway/src/run/serve.rs
@@ -31,8 +31,8 @@
     };
     handle.insert_source(signals, told).map_err(|error| format!("signals: {error}"))?;
     let (name, address) = (deployment.name.clone(), deployment.listen);
-    let listener =
-        Listener::open(address, handle.clone()).map_err(|error| format!("'listen' {address}: {error}"))?;
+    let listener = Listener::open(address, deployment.sockets, handle.clone())
+        .map_err(|error| format!("'listen' {address}: {error}"))?;
     let mut gateway = Gateway::new(handle, deployment, listener, program);
     gateway.open_membership(&program.fellows)?;
     gateway.open_consensus(program)?;
