A test's bytes are written without an octal-looking escape

Cause: the linter refuses the form of a zero byte before a digit that the test of synchronization used. Change: the byte is written in hexadecimal. Measured: the linter is clean.

--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -408,7 +408,7 @@
             [message(b'T', COLUMN), message(b'D', &column), message(b'C', b"SELECT 1\0")].concat()
         };
         let (ready, synchronized) = (message(b'Z', b"I"), [message(b'I', b""), message(b'Z', b"I")].concat());
-        let copy = [answer(b"hi"), message(b'S', b"lsn_ms\07\0"), ready.clone()].concat();
+        let copy = [answer(b"hi"), message(b'S', b"lsn_ms\x007\0"), ready.clone()].concat();
         let refusal = [message(b'E', b"C53300\0\0"), ready.clone()].concat();
         for (what, leftover, event) in [
             ("nothing", vec![], Event::Ready),
