The number of remembered sessions is bounded by the memory

What callers saw: memory grew without end while one client sent commands under ever new names, also ones that reach no server. Cause: each command of a group with sessions gives its session a number, which is kept for 120 s. Change: sessions use an eighth of the memory at most. Beyond that the one unused for longest makes way; if it wrote, reads of sessions that are new must see everything up to its write, since each may be that session. The router takes that as it takes the age of a last write that clients name.

--- a/crates/cli/tests/written.rs
+++ b/crates/cli/tests/written.rs
@@ -117,6 +117,35 @@
     }
 }
 
+/// Guards against a session that misses its own write since so many others came that it was forgotten (incident 25).
+#[test]
+fn a_session_forgotten_among_many_others_sees_its_write() {
+    /// More than a gateway with the least memory remembers, which is a session for each 2 KiB.
+    const OTHERS: u32 = 9_000;
+    let (primary, replica) = (plain(true, "new"), plain(false, "old"));
+    let entries = [entry("s1", primary.address, "up", true), entry("s2", replica.address, "up", false)];
+    let (discovery, _changes) = discovery(list(1, true, &entries));
+    let kept = settings("silent", 4)
+        .replace(r#""needs_by_class":["eventual""#, r#""needs_by_class":["causal""#)
+        .replace(r#""guards":"silent""#, r#""guards":"silent","write_marks":"kept""#)
+        // Servers state no position by which a replica could be known to be recent enough.
+        .replace(r#""guards":"silent""#, r#""answers_stamped":false,"guards":"silent""#);
+    let gateway = Gateway::launch_as(PROGRAM, discovery, 256, None, |usual| {
+        usual.replace(SETTINGS, &kept).replace(r#""sockets":256"#, r#""sockets":256,"memory_mb":16"#)
+    });
+    gateway.wait_ready();
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("once", 1, 5_000)), value("new"));
+    for id in 2..OTHERS {
+        let other = statement("look", id, 5_000).replace("7f3a", &format!("other{id}"));
+        assert!(matches!(client.ask(&other), Reply::Value(_)), "{id}");
+    }
+    let mut newcomer = gateway.client();
+    let unknown = statement("look", OTHERS, 5_000).replace("7f3a", "newcomer");
+    assert_eq!(client.ask(&statement("look", OTHERS + 1, 5_000)), value("new"));
+    assert!(matches!(newcomer.ask(&unknown), Reply::Value(_)));
+}
+
 /// A command that waits for its connection while its server is listed as draining or gone goes elsewhere, without
 /// using up an attempt: only one is allowed here.
 #[test]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -117,7 +117,7 @@
             commands: PendingCommands::with_deferred_writes(),
             servers_named: NameNumbers::default(),
             groups: NameNumbers::default(),
-            sessions: Sessions::default(),
+            sessions: Sessions::new(deployment.memory),
             executed_ids: ExecutedIds::new(deployment.memory),
             clients: Clients::default(),
             servers: Servers::default(),
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -295,17 +295,23 @@
         let client_timeout =
             (came + micros_from_millis(head.wait)).min(self.stop_deadline.unwrap_or(Micros::MAX));
         let until = client_timeout.min(now + self.deployment.longest_wait);
-        let session = self.deployment.command_groups[command_group].session;
-        let session = session.then(|| self.sessions.number_of(head.key, now, until));
+        let group = &self.deployment.command_groups[command_group];
+        let session = group.session.then(|| self.sessions.find_or_add(head.key, now, until, group.primary));
+        let forgotten = session.and_then(|session| session.forgotten_until);
+        let forgotten = forgotten.filter(|_| self.deployment.remembers_writes);
+        let write_ages = [
+            head.after.map(|after| now.saturating_sub(micros_from_millis(after))),
+            forgotten.map(|until| now.saturating_sub(until)),
+        ];
         let taken = Command {
             command_group,
             // A group that is in no list has no members; no number is assigned to it.
             group: self.groups.find(head.group).unwrap_or(usize::MAX),
-            session,
+            session: session.map(|session| session.number),
             arrived: now,
             client_timeout,
             // A commit at this very moment counts too.
-            last_write_age: head.after.map(|after| now.saturating_sub(micros_from_millis(after)).max(1)),
+            last_write_age: write_ages.into_iter().flatten().min().map(|age| age.max(1)),
             // Clients do not name customers in this protocol.
             customer: None,
         };
--- a/crates/gateway/src/run/deployment.rs
+++ b/crates/gateway/src/run/deployment.rs
@@ -62,6 +62,8 @@
     /// Zone of this gateway.
     pub zone: String,
     pub command_groups: Vec<CommandGroup>,
+    /// Whether the writes of a session are remembered here, rather than named by its reads.
+    pub remembers_writes: bool,
     /// Whether a server that the list calls gone is certainly gone.
     pub removal_is_final: bool,
     /// Number of gateways, including this one.
@@ -207,6 +209,7 @@
                 .collect(),
             zone: settings["my_zone"].as_str().unwrap_or_default().into(),
             command_groups: command_groups.collect::<Result<_, String>>()?,
+            remembers_writes: settings["domain"]["write_marks"] != "brought",
             removal_is_final: settings["guarantees"]["gone_is_advice"] != true,
             gateways: settings["balancers"].as_u64().unwrap_or(1).max(1),
             longest_wait,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,7 +28,8 @@
     pub arrived: Micros,
     /// When the client gives up on this attempt.
     pub client_timeout: Micros,
-    /// Age of the session's last write at arrival, where clients send it along.
+    /// Age of the session's last write at arrival, where clients send it along; or the least it may be, where the host
+    /// has forgotten the session.
     pub last_write_age: Option<Micros>,
     /// Index of the customer in the settings; `None` where it belongs to none of them.
     pub customer: Option<usize>,
