The gateway's files on servers and clients are divided by job

Change: statements of server connections, and the choice of connections that make way for descriptors, are files of their own; reading a command is a function of its own; company becomes membership, and a line a server connection.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,15 +4,17 @@
 mod buffers;
 mod clients;
 mod commands;
-mod company;
 mod control;
 mod council;
+mod descriptors;
 mod discovery;
 mod discovery_timeouts;
 mod due;
 mod holds;
+mod membership;
 mod scout;
 mod servers;
+mod statements;
 mod steps;
 
 use std::net::{SocketAddr, TcpStream};
@@ -25,13 +27,13 @@
 use tansyjunction_hosting::{NameNumbers, PendingCommands, TimerQueue};
 use tansyjunction_settings::ProgramSettings;
 
-use self::company::Membership;
 use self::control::Controls;
 use self::council::Consensus;
 use self::discovery::Watch;
 use self::discovery_timeouts::DiscoveryTimeouts;
 use self::due::FIRST_LIST_WAIT;
 use self::holds::WriteHolding;
+use self::membership::Membership;
 use self::scout::SharedProbing;
 use crate::memory::clients::Clients;
 use crate::memory::executed_ids::ExecutedIds;
@@ -46,7 +48,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Client(u64),
-    Line(u64),
+    ServerConnection(u64),
     Control(u64),
     Council,
     Discovery,
--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -5,28 +5,13 @@
 use tansyjunction_hosting::micros_from_millis;
 use tracing::warn;
 
+use super::descriptors::SHUTDOWN_LINGER;
 use super::{Due, Gateway, is_out_of_descriptors};
 use crate::memory::name_hash::NameHash;
 use crate::wire::client::{Client, InHand, Next};
 use crate::wire::frames;
-use crate::wire::server::Phase;
 use crate::wire::statement::CommandHead;
 
-/// Descriptors reserved for other uses: log, event loop, listener, signals, peers, discovery, and a few that the system
-/// may still be closing.
-const RESERVED_DESCRIPTORS: usize = 40;
-/// Descriptors kept free of them where the system grants fewer than configured and all are in use.
-const SPARE_DESCRIPTORS: usize = 8;
-/// A client without a command for this long may be disconnected.
-const CLIENT_IDLE_AFTER: Micros = 2_000_000;
-/// A client that has not finished its startup or a message within this time may be disconnected.
-const CLIENT_MESSAGE_GRACE: Micros = 500_000;
-/// Clients may use a third of the descriptors while they have commands. Above this fraction, idle clients are closed
-/// for new ones, except those that pause briefly between two commands.
-const CLIENT_SHARE_DIVISOR: usize = 4;
-const CLIENT_PAUSE: Micros = 100_000;
-/// Longest time that a closing connection may linger during shutdown.
-const SHUTDOWN_LINGER: Micros = 50_000;
 /// Time after the deadline of all answers at which clients that still send are closed.
 const FINAL_GRACE: Micros = 100_000;
 /// Most messages of one client, and most new clients, handled before others get their turn.
@@ -78,95 +63,6 @@
         }
     }
 
-    /// The system grants fewer descriptors than configured: lowers the limit so that some stay free, else clients
-    /// would leave none to discovery and servers. False if it is lowered already.
-    pub(super) fn lower_descriptor_limit(&mut self) -> bool {
-        let most = (self.clients.count() + self.servers.count()).saturating_sub(SPARE_DESCRIPTORS).max(1);
-        let fewer = most + RESERVED_DESCRIPTORS < self.deployment.sockets;
-        if fewer {
-            warn!(target: "limits", "fewer file descriptors than 'limits.sockets': limited to {most} connections");
-            self.deployment.sockets = most + RESERVED_DESCRIPTORS;
-        }
-        fewer
-    }
-
-    /// Whether another descriptor may be used, after closing an idle connection if necessary. Idle clients are closed
-    /// first: some are never used again, while a server connection is expensive to open. Clients leave half to the
-    /// servers.
-    pub(super) fn has_free_descriptor(&mut self, for_client: bool) -> bool {
-        let most = self.deployment.sockets - RESERVED_DESCRIPTORS;
-        while self.clients.count() + self.servers.count() >= most {
-            let now = self.clock.now();
-            let line =
-                self.servers.least_recently_used().filter(|_| !for_client || self.servers.count() > most / 2);
-            let ended = self.clients.longest_closing(now - SHUTDOWN_LINGER);
-            let silent = ended.or_else(|| self.clients.oldest_without_startup(now - CLIENT_MESSAGE_GRACE));
-            // A client must not be closed for the next one before its first bytes were read.
-            let came = if for_client { now - CLIENT_PAUSE } else { now };
-            if let Some(key) = silent.or_else(|| self.clients.least_recently_used(now - CLIENT_IDLE_AFTER)) {
-                self.close_idle(key);
-            } else if let Some(key) = self.clients.incomplete_since(now - CLIENT_MESSAGE_GRACE) {
-                self.close_incomplete(key);
-            } else if let Some(key) = line {
-                self.close_connection(key);
-            } else if let Some(key) =
-                self.clients.least_recently_used(now).or_else(|| self.clients.oldest_without_startup(came))
-            {
-                self.close_idle(key);
-            } else if let Some(key) = self.clients.longest_closing(now) {
-                self.close_idle(key);
-            } else {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Closes an idle connection to free its descriptor, unless data has arrived: a command would be lost unread, and
-    /// closing over unread bytes sends a reset that may overtake the last answer.
-    fn close_idle(&mut self, key: u64) {
-        let now = self.clock.now();
-        let Some(client) = self.clients.get(key) else { return };
-        let stays = client.read(now);
-        if stays && !client.is_closing() && !client.is_idle() && !client.lacks_startup() {
-            self.turns.push_back(key);
-            return;
-        }
-        if stays && !client.is_closing() {
-            client.shut_down();
-        }
-        client.read(now);
-        self.close_client(key);
-    }
-
-    /// Closes a connection with an incomplete message to free its descriptor, with an error, unless the rest has arrived.
-    fn close_incomplete(&mut self, key: u64) {
-        let now = self.clock.now();
-        let Some(client) = self.clients.get(key) else { return };
-        let stays = client.read(now);
-        if stays && !client.lacks_rest_since(now) {
-            self.turns.push_back(key);
-            return;
-        }
-        if stays {
-            client.time_out();
-            client.read(now);
-        }
-        self.close_client(key);
-    }
-
-    /// Closes idle clients while many are open. Clients that ask once and keep the connection would otherwise use up
-    /// the clients' share of descriptors.
-    pub(super) fn close_idle_clients(&mut self) {
-        let most = self.deployment.sockets / CLIENT_SHARE_DIVISOR;
-        while self.clients.open_count() > most
-            && let Some(key) = self.clients.least_recently_used(self.clock.now() - CLIENT_PAUSE)
-        {
-            self.close_for_shutdown(key);
-            self.update_client_timeout(key);
-        }
-    }
-
     pub(super) fn client_ready(&mut self, key: u64, readiness: Readiness) {
         let Some(client) = self.clients.get(key) else { return };
         if !client.flush() || readiness.readable && !self.client_is_connected(key) {
@@ -201,28 +97,6 @@
         stays
     }
 
-    /// Cancels a dispatch of a finished command that is not completely written, so it has not executed. Otherwise the
-    /// rest would be written, and executed, for a client that has gone.
-    pub(super) fn cancel_unwritten(&mut self, key: u64) {
-        let Some(line) = self.servers.get(key) else { return };
-        if line.job.is_none() || line.written.is_some() {
-            return;
-        }
-        match line.protocol.phase {
-            Phase::Ready => {
-                self.finish_job(key, DispatchEnd::Unsent);
-                self.set_idle(key);
-            }
-            Phase::Synchronizing => {
-                self.finish_job(key, DispatchEnd::Unsent);
-                self.servers.set_synchronizing(key);
-            }
-            Phase::Connecting | Phase::Starting | Phase::Busy => {
-                self.end_connection(key, DispatchEnd::Unsent);
-            }
-        }
-    }
-
     /// Handles a client's messages until a command is in progress, within a limit so that other clients get their turn.
     pub(super) fn serve_client(&mut self, key: u64) {
         let (now, takes, ready) = (self.clock.now(), self.accepts_commands, self.ready);
@@ -274,31 +148,35 @@
         }
     }
 
+    /// Reads a command's statement: the index of its group, and its parameters. `Err` says what is wrong.
+    fn read_command<'a>(&self, message: &'a [u8]) -> Result<(usize, CommandHead<'a>), String> {
+        let head = CommandHead::read(message)?;
+        let mut known = self.deployment.command_groups.iter();
+        let place = known.position(|group| group.name == head.command_group);
+        let place = place.ok_or("'c' is not in the settings")?;
+        let group = &self.deployment.command_groups[place];
+        if group.keyed && !head.keyed {
+            return Err("'k' is missing".into());
+        }
+        if head.writes && !group.writes {
+            return Err("'c' is of commands that write nothing".into());
+        }
+        if self.clients.has_command_id(head.id) {
+            return Err("'id' is that of a command in hand".into());
+        }
+        if group.writes && self.executed_ids.contains(NameHash::of(head.id)) {
+            return Err("'id' is that of a command that may have run".into());
+        }
+        Ok((place, head))
+    }
+
+    /// Begins the command at the front of a client's inbox, or answers it with an error.
     pub(super) fn take_command(&mut self, key: u64, length: usize) {
         let now = self.clock.now();
         let command = self.number();
         let Some(client) = self.clients.peek(key) else { return };
         let came = client.arrived_at(length).unwrap_or(now);
-        let read = CommandHead::read(&client.inbox.rest()[..length]).and_then(|head| {
-            let mut known = self.deployment.command_groups.iter();
-            let place = known.position(|group| group.name == head.command_group);
-            let place = place.ok_or("'c' is not in the settings")?;
-            let group = &self.deployment.command_groups[place];
-            if group.keyed && !head.keyed {
-                return Err("'k' is missing".into());
-            }
-            if head.writes && !group.writes {
-                return Err("'c' is of commands that write nothing".into());
-            }
-            if self.clients.has_command_id(head.id) {
-                return Err("'id' is that of a command in hand".into());
-            }
-            if group.writes && self.executed_ids.contains(NameHash::of(head.id)) {
-                return Err("'id' is that of a command that may have run".into());
-            }
-            Ok((place, head))
-        });
-        let (command_group, head) = match read {
+        let (command_group, head) = match self.read_command(&client.inbox.rest()[..length]) {
             Ok(read) => read,
             Err(message) => {
                 let error = frames::error("ERROR", "42601", &message, None);
@@ -376,8 +254,8 @@
             self.handover_forget(command);
             // Completely written dispatches may have executed and end by themselves.
             for dispatch in 0..dispatches {
-                if let Some(line) = self.servers.connection_of(command, dispatch) {
-                    self.cancel_unwritten(line);
+                if let Some(connection) = self.servers.connection_of(command, dispatch) {
+                    self.cancel_unwritten(connection);
                 }
             }
         }
--- a/crates/gateway/src/gateway/due.rs
+++ b/crates/gateway/src/gateway/due.rs
@@ -3,7 +3,7 @@
 use tansyjunction::interface::*;
 use tracing::{error, info, warn};
 
-use super::company::Membership;
+use super::membership::Membership;
 use super::{Due, Gateway};
 use crate::run::deployment::Deployment;
 use crate::wire::client::Next;
@@ -31,8 +31,8 @@
             return 0;
         }
         let holds = self.handover.as_ref().map(|holds| holds.handover.next_due());
-        let company = self.membership.as_ref().map(Membership::next);
-        let due = [self.commands.next_due(), self.due.next_due(), holds, company];
+        let membership = self.membership.as_ref().map(Membership::next);
+        let due = [self.commands.next_due(), self.due.next_due(), holds, membership];
         due.into_iter().flatten().fold(self.router_due, Micros::min)
     }
 
@@ -92,12 +92,12 @@
                 }
                 self.update_client_timeout(key);
             }
-            Due::Line(key) => {
-                let Some(line) = self.servers.get(key) else { return };
-                if !line.due.expire(&mut self.due, Due::Line(key), at) {
+            Due::ServerConnection(key) => {
+                let Some(connection) = self.servers.get(key) else { return };
+                if !connection.due.expire(&mut self.due, Due::ServerConnection(key), at) {
                     return;
                 }
-                if line.job.is_some() {
+                if connection.job.is_some() {
                     self.end_connection(key, DispatchEnd::TimedOut);
                 } else {
                     self.close_connection(key);
@@ -155,8 +155,8 @@
                 holds.handover.limit_hold_time(now, stops);
             }
             for key in self.servers.limit_timeouts(stops) {
-                if let Some(line) = self.servers.get(key) {
-                    line.due.bring_forward(&mut self.due, Due::Line(key), stops);
+                if let Some(connection) = self.servers.get(key) {
+                    connection.due.bring_forward(&mut self.due, Due::ServerConnection(key), stops);
                 }
             }
             self.due.add(now + most.saturating_sub(NO_NEW_COMMANDS).max(KEEP_LISTENING), Due::Listener);
--- a/crates/gateway/src/gateway/membership.rs
+++ b/crates/gateway/src/gateway/membership.rs
@@ -140,11 +140,11 @@
 
     fn membership_ready(&mut self) {
         let now = self.clock.now();
-        let Some(company) = &mut self.membership else { return };
+        let Some(membership) = &mut self.membership else { return };
         let mut bytes = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..DATAGRAMS_PER_TURN {
-            match company.socket.recv_from(&mut bytes) {
-                Ok((length, _)) => company.node.receive(now, &bytes[..length]),
+            match membership.socket.recv_from(&mut bytes) {
+                Ok((length, _)) => membership.node.receive(now, &bytes[..length]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 // An earlier datagram was refused: its receiver is gone, which the failure detector notices.
                 Err(_) => {}
@@ -156,23 +156,25 @@
     /// Runs the timers of the membership.
     pub(super) fn run_membership(&mut self) {
         let now = self.clock.now();
-        let Some(company) = self.membership.as_mut().filter(|company| company.next() <= now) else { return };
-        if company.node.next_due() <= now {
-            company.node.run_due(now);
+        let Some(membership) = self.membership.as_mut().filter(|membership| membership.next() <= now) else {
+            return;
+        };
+        if membership.node.next_due() <= now {
+            membership.node.run_due(now);
         }
         self.send_membership();
         self.share_observations(now);
     }
 
     fn send_membership(&mut self) {
-        let Some(company) = &mut self.membership else { return };
-        for (to, bytes) in company.node.take_datagrams() {
+        let Some(membership) = &mut self.membership else { return };
+        for (to, bytes) in membership.node.take_datagrams() {
             // Datagrams that the socket does not accept are lost.
-            let _ = company.socket.send_to(&bytes, to);
+            let _ = membership.socket.send_to(&bytes, to);
         }
-        let score = company.node.members().health();
+        let score = membership.node.members().health();
         let mono = monotonic();
-        for news in company.node.take_events() {
+        for news in membership.node.take_events() {
             let where_is =
                 |fellow: &GatewayIdentity| (fellow.name.clone(), fellow.zone, fellow.region, fellow.life);
             match news {
@@ -181,9 +183,9 @@
                     info!(target: "fellows", what = "up", mono, fellow, zone, region, life, "a gateway is up");
                 }
                 MembershipEvent::Down(fellow) => {
-                    let left = company.node.has_left(&fellow.name);
+                    let left = membership.node.has_left(&fellow.name);
                     let (fellow, zone, region, life) = where_is(&fellow);
-                    let dark = format!("{:?}", company.node.dark_zones());
+                    let dark = format!("{:?}", membership.node.dark_zones());
                     let what = if left { "left" } else { "down" };
                     warn!(target: "fellows", what, mono, fellow, zone, region, life, dark, score, "a gateway is down or has left");
                 }
@@ -208,27 +210,28 @@
 
     /// Passes others' observations to the router, for servers of which there are any.
     fn share_observations(&mut self, now: Micros) {
-        let Some(company) = self.membership.as_mut().filter(|company| company.advise_due <= now) else {
+        let Some(membership) = self.membership.as_mut().filter(|membership| membership.advise_due <= now)
+        else {
             return;
         };
-        company.advise_due = now + OBSERVATION_INTERVAL;
-        if !company.advise {
+        membership.advise_due = now + OBSERVATION_INTERVAL;
+        if !membership.advise {
             return;
         }
-        for server in company.groups.keys() {
+        for server in membership.groups.keys() {
             if let Some(waits) = self.router.wait_while_warming_up(now, *server) {
                 let waits = u16::try_from(waits / 1_000).unwrap_or(u16::MAX);
-                company.node.observe(now, self.servers_named.name(*server), Fact::Waits(waits));
+                membership.node.observe(now, self.servers_named.name(*server), Fact::Waits(waits));
             }
         }
-        let own = company.node.members().me().name.clone();
-        let opinions = company.node.opinions(now);
+        let own = membership.node.members().me().name.clone();
+        let opinions = membership.node.opinions(now);
         let mut groups: BTreeMap<usize, Vec<&str>> = BTreeMap::new();
-        for (server, group) in &company.groups {
+        for (server, group) in &membership.groups {
             groups.entry(*group).or_default().push(self.servers_named.name(*server));
         }
         for members in groups.values() {
-            let leader = opinion::agreed_primary(company.node.evidence(), &own, members);
+            let leader = opinion::agreed_primary(membership.node.evidence(), &own, members);
             for member in members {
                 let opinion = opinions.get(*member);
                 let bad = opinion.and_then(|opinion| opinion.bad_since());
@@ -248,7 +251,7 @@
 
     fn observe(&mut self, now: Micros, server: usize, ending: DispatchEnd, said: Report) {
         let scouts = self.holds_probing_duty(server);
-        let Some(company) = &mut self.membership else { return };
+        let Some(membership) = &mut self.membership else { return };
         let name = self.servers_named.name(server);
         let reach = match ending {
             DispatchEnd::Answered | DispatchEnd::Errored | DispatchEnd::SentBack | DispatchEnd::Missed => {
@@ -262,8 +265,10 @@
         for fact in [reach, role, said.position.map(Fact::At)].into_iter().flatten() {
             match fact {
                 // The others rely on its age.
-                Fact::Refuses | Fact::Hangs if scouts => company.node.observe_as_reference(now, name, fact),
-                _ => company.node.observe(now, name, fact),
+                Fact::Refuses | Fact::Hangs if scouts => {
+                    membership.node.observe_as_reference(now, name, fact)
+                }
+                _ => membership.node.observe(now, name, fact),
             }
         }
     }
@@ -291,43 +296,43 @@
     }
 
     pub(super) fn membership_on_list(&mut self, now: Micros, entries: &[ServerListEntry]) {
-        let Some(company) = &mut self.membership else { return };
+        let Some(membership) = &mut self.membership else { return };
         for entry in entries {
             if entry.state == tansyjunction::interface::ServerState::Gone {
-                company.groups.remove(&entry.server);
+                membership.groups.remove(&entry.server);
             } else {
-                company.groups.insert(entry.server, entry.group);
+                membership.groups.insert(entry.server, entry.group);
             }
             if entry.state != tansyjunction::interface::ServerState::Serving {
-                company.node.observe(now, self.servers_named.name(entry.server), Fact::Drains);
+                membership.node.observe(now, self.servers_named.name(entry.server), Fact::Drains);
             }
         }
     }
 
     /// Leaves the membership after SIGTERM.
     pub(super) fn leave_membership(&mut self, now: Micros) {
-        if let Some(company) = &mut self.membership {
-            company.node.leave(now);
+        if let Some(membership) = &mut self.membership {
+            membership.node.leave(now);
             self.send_membership();
         }
     }
 
     /// Reads the keys again after SIGHUP.
     pub(super) fn reload_membership_keys(&mut self) {
-        let Some(company) = &mut self.membership else { return };
-        match read_keys(&company.key_file) {
-            Ok(keys) => company.node.set_keys(keys),
+        let Some(membership) = &mut self.membership else { return };
+        match read_keys(&membership.key_file) {
+            Ok(keys) => membership.node.set_keys(keys),
             Err(message) => error!(target: "fellows", "the key file was not reloaded: {message}"),
         }
     }
 
     /// Status for operators: members, evidence with ages, and suspicions.
     pub(super) fn membership_status(&self, now: Micros) -> Result<Json, String> {
-        let company = self.membership.as_ref().ok_or("fellows are switched off")?;
-        let fellows = &company.node;
+        let membership = self.membership.as_ref().ok_or("fellows are switched off")?;
+        let fellows = &membership.node;
         let age = |at: Micros| now.saturating_sub(at) / 1_000;
         let zone = |zone: u8| self.deployment.zones.get(usize::from(zone)).cloned().unwrap_or_default();
-        let region = |region: u8| company.regions.get(usize::from(region)).cloned().unwrap_or_default();
+        let region = |region: u8| membership.regions.get(usize::from(region)).cloned().unwrap_or_default();
         let members = fellows.members().all().map(|seen| {
             let standing = match seen.standing {
                 PeerStatus::Alive => "alive",
--- a/crates/gateway/src/gateway/scout.rs
+++ b/crates/gateway/src/gateway/scout.rs
@@ -57,9 +57,9 @@
     pub(super) fn probe_replacement(&mut self, now: Micros, server: usize) -> Option<DispatchEnd> {
         let group = self.servers.shard(server).filter(|_| self.probing.is_some())?;
         let scout = self.probing_holder(self.groups.name(group));
-        let (company, scouting) = (self.membership.as_ref()?, self.probing.as_mut()?);
+        let (membership, scouting) = (self.membership.as_ref()?, self.probing.as_mut()?);
         let (me, name) = (self.deployment.name.as_str(), self.servers_named.name(server));
-        let said = |by: &str| company.last_observation(now, by, name).and_then(to_result);
+        let said = |by: &str| membership.last_observation(now, by, name).and_then(to_result);
         let own = said(me);
         let bad = own.is_some_and(|own| own.result != ProbeResult::Answers);
         let known = ProbeContext {
@@ -68,7 +68,7 @@
             own_result: own,
             reported: scout.as_deref().and_then(said),
             // Searches all evidence, so only evaluated if needed.
-            holder_doubted: bad && scout.as_deref().is_some_and(|scout| company.accuses_most(scout)),
+            holder_doubted: bad && scout.as_deref().is_some_and(|scout| membership.accuses_most(scout)),
         };
         let counts = scouting.counts.entry(group).or_default();
         match scouting.delegation.replacement(now, server, &known) {
