The earliest requests to discovery stay open, so that a slow answer is heard at any grace

What callers saw: nothing yet; found on rereading. At a drain grace of 100 ms a discovery that takes 0.4 s was never heard: a request is followed by another after 50 ms, and of the requests kept open the newest four stayed, for 0.25 s each. Measured: the test of a slow discovery, now with 0.4 s in place of 0.2 s, failed before and passes.

--- a/crates/cli/tests/told.rs
+++ b/crates/cli/tests/told.rs
@@ -101,7 +101,7 @@
     let rig = Rig::new();
     let agent = rig.agent();
     let gateway = Gateway::with_settings(PROGRAM, agent.address, &settings_with_grace(100));
-    agent.answers_late(200 * MS);
+    agent.answers_late(400 * MS);
     agent.has_and_ends_all(rig.entries("draining"));
     let bound = 1_500 * MS;
     let last = rig.last_read_at_the_replica(&gateway, Instant::now(), bound);
--- a/crates/gateway/src/gateway/discovery.rs
+++ b/crates/gateway/src/gateway/discovery.rs
@@ -16,7 +16,7 @@
 use super::{Due, Gateway};
 use crate::wire::directory::{Received, Response, ResponseState};
 
-/// Most earlier requests that are kept open without an answer.
+/// Most earlier requests that are kept open without an answer: each holds one of the reserved descriptors.
 const MAX_UNANSWERED: usize = 4;
 
 /// A request to discovery.
@@ -125,7 +125,7 @@
     fn close_discovery(&mut self) {
         self.watch.version = None;
         self.close_call();
-        self.close_unanswered(0);
+        self.close_unanswered(Micros::MAX);
     }
 
     fn close_call(&mut self) {
@@ -134,21 +134,22 @@
         }
     }
 
-    /// Closes the earliest requests without an answer until `most` are left.
-    fn close_unanswered(&mut self, most: usize) {
-        while self.watch.unanswered.len() > most
-            && let Some(call) = self.watch.unanswered.pop_front()
-        {
+    /// Closes the requests without an answer that were made at `until` or before.
+    fn close_unanswered(&mut self, until: Micros) {
+        while let Some(call) = self.watch.unanswered.pop_front_if(|call| call.opened <= until) {
             self.handle.remove(call.token);
         }
     }
 
-    /// Keeps the current request open, without an answer so far, beside the next one.
+    /// Keeps the current request open, without an answer so far, beside the next one. The earlier ones have precedence,
+    /// since a slow discovery answers them first.
     fn keep_unanswered(&mut self, now: Micros) {
-        self.watch.unanswered.extend(self.watch.call.take());
-        let recent = self.watch.unanswered.iter().filter(|call| now < call.opened + MAX_REQUEST_TIMEOUT);
-        let recent = recent.count().min(MAX_UNANSWERED);
-        self.close_unanswered(recent);
+        self.close_unanswered(now.saturating_sub(MAX_REQUEST_TIMEOUT));
+        if self.watch.unanswered.len() < MAX_UNANSWERED {
+            self.watch.unanswered.extend(self.watch.call.take());
+        } else {
+            self.close_call();
+        }
     }
 
     /// Handles an event of an earlier request: an answer to it takes the place of the current request.
@@ -233,7 +234,7 @@
             let due = (now + WATCH_SILENCE_TIMEOUT).min(call.whole_by);
             self.watch.silences = 0;
             self.set_watch_timer(due);
-            self.close_unanswered(0);
+            self.close_unanswered(Micros::MAX);
         }
         let asked = self.watch.version.is_none();
         let fresh = !came.lists.is_empty();
